--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/catalogue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Subcommands that read and edit the catalogue.
+ */
+package org.rattanhead.cli.catalogue;
--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/demo/DemoCommand.java
@@ -0,0 +1,87 @@
+package org.rattanhead.cli.demo;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import org.kohsuke.args4j.Option;
+
+import org.rattanhead.cli.Command;
+import org.rattanhead.cli.ExitCode;
+import org.rattanhead.cli.load.LengthMix;
+import org.rattanhead.cli.load.LoadPlan;
+import org.rattanhead.cli.load.LoadReport;
+import org.rattanhead.cli.load.LoadResult;
+import org.rattanhead.cli.load.LoadRun;
+import org.rattanhead.cli.load.LoadTarget;
+import org.rattanhead.core.catalogue.FailureDomainEntry;
+import org.rattanhead.core.catalogue.ModelEntry;
+import org.rattanhead.standin.EngineRates;
+
+/**
+ * Runs the whole system in one process on stand-ins.
+ */
+public final class DemoCommand implements Command {
+
+	private static final long ADDRESS_TTL_MILLIS = 500;
+
+	private static final double ONCE_RATE_PER_SECOND = 20;
+
+	private static final long ONCE_MILLIS = 6_000;
+
+	@Option(name = "--catalogue", metaVar = "FILE", usage = "catalogue file (default: the shipped example)")
+	private Path catalogue;
+
+	@Option(name = "--once", usage = "send a small mixed load, print a table and exit")
+	private boolean once;
+
+	@Option(name = "--key", metaVar = "KEY", usage = "key of the workspace that sends the load")
+	private String key = "demo-key-clerks";
+
+	@Option(name = "--seed", metaVar = "N", usage = "seed of the load (default 1)")
+	private long seed = 1;
+
+	@Override
+	public ExitCode run(PrintStream out, PrintStream err) throws Exception {
+		ClusterSettings settings = new ClusterSettings(DemoCatalogue.read(this.catalogue), EngineRates.DEMO, this.once,
+				ADDRESS_TTL_MILLIS);
+		try (LocalCluster cluster = new LocalCluster(settings)) {
+			introduce(cluster, settings, out);
+			return this.once ? loadOnce(cluster, settings, out, err) : serve(err);
+		}
+	}
+
+	private void introduce(LocalCluster cluster, ClusterSettings settings, PrintStream out) {
+		out.printf("%d daemons, %d engines in %d failure domains%n", cluster.daemons().size(),
+				cluster.fleet().engines().size(), settings.catalogue().list(FailureDomainEntry.class).size());
+		cluster.hosts().forEach((host) -> out.printf("  %-20s http://%s%n", host.name(), host.callerAddress()));
+		out.printf(
+				"Try: curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "
+						+ "-d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":16,"
+						+ "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'%n",
+				cluster.hosts().get(0).callerAddress(), this.key, model(settings));
+	}
+
+	private ExitCode loadOnce(LocalCluster cluster, ClusterSettings settings, PrintStream out, PrintStream err)
+			throws InterruptedException {
+		LoadPlan plan = LoadPlan.poisson(this.seed, ONCE_RATE_PER_SECOND, ONCE_MILLIS, LengthMix.MIXED);
+		LoadTarget target = new LoadTarget(cluster.addresses(), this.key, model(settings), true);
+		LoadResult result = LoadRun.run(plan, target, err);
+		LoadReport.table(result, out);
+		boolean right = result.outcomes().stream().allMatch((outcome) -> outcome.answeredRight());
+		out.println(right ? "Every request was answered, and every answer was right."
+				: "Some requests were not answered right; see the table.");
+		return right ? ExitCode.OK : ExitCode.REJECTED;
+	}
+
+	private static ExitCode serve(PrintStream err) throws InterruptedException {
+		err.println("Serving until interrupted.");
+		new CountDownLatch(1).await();
+		return ExitCode.OK;
+	}
+
+	private static String model(ClusterSettings settings) {
+		return settings.catalogue().list(ModelEntry.class).get(0).name();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/load/LoadRun.java
@@ -0,0 +1,114 @@
+package org.rattanhead.cli.load;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.rattanhead.client.HttpCall;
+import org.rattanhead.client.HttpCaller;
+import org.rattanhead.client.HttpField;
+import org.rattanhead.core.Payload;
+import org.rattanhead.ring.Ticker;
+
+/**
+ * Sends a load. Requests leave at their planned times whether or not earlier ones were
+ * answered, and latency counts from the planned time.
+ */
+public final class LoadRun {
+
+	private static final JsonMapper MAPPER = new JsonMapper();
+
+	private static final long CALL_TIMEOUT_MILLIS = 600_000;
+
+	private static final long PROGRESS_MILLIS = 1_000;
+
+	private static final int IO_THREADS = 2;
+
+	private final LoadPlan plan;
+
+	private final LoadTarget target;
+
+	private final HttpCaller caller;
+
+	private final Queue<LoadOutcome> outcomes = new ConcurrentLinkedQueue<>();
+
+	private final CountDownLatch open;
+
+	private final long startNanos = System.nanoTime();
+
+	private LoadRun(LoadPlan plan, LoadTarget target, HttpCaller caller) {
+		this.plan = plan;
+		this.target = target;
+		this.caller = caller;
+		this.open = new CountDownLatch(plan.requests().size());
+	}
+
+	/**
+	 * Sends a load and waits for its end.
+	 * @param plan the plan
+	 * @param target where it goes
+	 * @param progress where a progress line is written
+	 * @return what became of it
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public static LoadResult run(LoadPlan plan, LoadTarget target, PrintStream progress) throws InterruptedException {
+		try (HttpCaller caller = new HttpCaller("load", IO_THREADS); Ticker ticker = new Ticker("load-ticker")) {
+			LoadRun run = new LoadRun(plan, target, caller);
+			ticker.every(PROGRESS_MILLIS, () -> run.showProgress(progress));
+			run.send();
+			run.open.await();
+			return run.result();
+		}
+	}
+
+	private void send() throws InterruptedException {
+		CountDownLatch never = new CountDownLatch(1);
+		for (PlannedRequest request : this.plan.requests()) {
+			long dueNanos = this.startNanos + TimeUnit.MICROSECONDS.toNanos(request.atMicros());
+			HttpCall call = call(request);
+			long aheadNanos = dueNanos - System.nanoTime();
+			if (aheadNanos > 0) {
+				never.await(aheadNanos, TimeUnit.NANOSECONDS);
+			}
+			this.caller.start(call, new LoadObserver(request, expected(request), dueNanos, this::record));
+		}
+	}
+
+	private HttpCall call(PlannedRequest request) {
+		ObjectNode body = MAPPER.createObjectNode().put("model", this.target.model()).put("stream", true);
+		body.put("max_tokens", request.outputTokens());
+		body.putArray("messages").addObject().put("role", "user").put("content", this.plan.prompt(request));
+		List<HttpField> fields = List.of(new HttpField("Content-Type", "application/json"),
+				new HttpField("Authorization", "Bearer " + this.target.key()));
+		return new HttpCall(this.target.addresses().get(request.number() % this.target.addresses().size()), "POST",
+				"/v1/chat/completions", fields, Payload.of(body.toString()), CALL_TIMEOUT_MILLIS);
+	}
+
+	private AnswerCheck expected(PlannedRequest request) {
+		return this.target.verify() ? AnswerCheck.against(this.plan.prompt(request), request.outputTokens())
+				: AnswerCheck.none();
+	}
+
+	private void record(LoadOutcome outcome) {
+		this.outcomes.add(outcome);
+		this.open.countDown();
+	}
+
+	private void showProgress(PrintStream progress) {
+		progress.printf("%d of %d ended after %d s%n", this.outcomes.size(), this.plan.requests().size(),
+				TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - this.startNanos));
+	}
+
+	private LoadResult result() {
+		return new LoadResult(this.plan, new ArrayList<>(this.outcomes),
+				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startNanos));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/load/LoadTarget.java
@@ -0,0 +1,15 @@
+package org.rattanhead.cli.load;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * Where a load goes.
+ *
+ * @param addresses the addresses, used in turn
+ * @param key the key of the workspace
+ * @param model the model
+ * @param verify whether answers are compared with those of the engine stand-in
+ */
+public record LoadTarget(List<InetSocketAddress> addresses, String key, String model, boolean verify) {
+}
--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command {@code rattanhead} for callers and operators.
+ */
+package org.rattanhead.cli;
--- /dev/null
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Subcommands that call a daemon.
+ */
+package org.rattanhead.cli.request;
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpCall.java
@@ -0,0 +1,45 @@
+package org.rattanhead.client;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+import org.rattanhead.core.Payload;
+
+/**
+ * A call to make.
+ *
+ * @param address where to connect
+ * @param method the HTTP method
+ * @param path path and query
+ * @param fields header fields besides Host and Content-Length
+ * @param body the body, {@link Payload#EMPTY} for none
+ * @param timeoutMillis when the call fails if it has not ended, in milliseconds
+ */
+public record HttpCall(InetSocketAddress address, String method, String path, List<HttpField> fields, Payload body,
+		long timeoutMillis) {
+
+	/**
+	 * Builds a call without a body.
+	 * @param address where to connect
+	 * @param path path and query
+	 * @param timeoutMillis the timeout, in milliseconds
+	 * @return the call
+	 */
+	public static HttpCall get(InetSocketAddress address, String path, long timeoutMillis) {
+		return new HttpCall(address, "GET", path, List.of(), Payload.EMPTY, timeoutMillis);
+	}
+
+	/**
+	 * Builds a call with a JSON body.
+	 * @param address where to connect
+	 * @param path path and query
+	 * @param json the body
+	 * @param timeoutMillis the timeout, in milliseconds
+	 * @return the call
+	 */
+	public static HttpCall post(InetSocketAddress address, String path, Payload json, long timeoutMillis) {
+		return new HttpCall(address, "POST", path, List.of(new HttpField("Content-Type", "application/json")), json,
+				timeoutMillis);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpCaller.java
@@ -0,0 +1,121 @@
+package org.rattanhead.client;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.rattanhead.client.internal.CollectingObserver;
+import org.rattanhead.client.internal.ConnectionPool;
+import org.rattanhead.client.internal.Exchange;
+
+/**
+ * Makes HTTP calls. Connections are kept for later calls; a call that fails closes its
+ * connection.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private final XnioWorker worker;
+
+	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final ConnectionPool pool = new ConnectionPool();
+
+	private final Set<Exchange> open = ConcurrentHashMap.newKeySet();
+
+	private final AtomicBoolean closed = new AtomicBoolean();
+
+	/**
+	 * Starts the I/O threads.
+	 * @param name the name of the threads
+	 * @param ioThreads the number of threads
+	 */
+	public HttpCaller(String name, int ioThreads) {
+		try {
+			this.worker = Xnio.getInstance()
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_NAME, name)
+					.set(Options.WORKER_IO_THREADS, ioThreads)
+					.set(Options.WORKER_TASK_CORE_THREADS, 1)
+					.set(Options.WORKER_TASK_MAX_THREADS, 1)
+					.set(Options.THREAD_DAEMON, true)
+					.getMap());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("No I/O threads could be started; raise the limit of open files", ex);
+		}
+	}
+
+	/**
+	 * Starts a call.
+	 * @param call the call
+	 * @param observer receives the reply on an I/O thread
+	 * @return the call in progress
+	 */
+	public OngoingCall start(HttpCall call, ReplyObserver observer) {
+		Exchange exchange = new Exchange(call, observer, this.pool, this.buffers, this.open::remove);
+		this.open.add(exchange);
+		exchange.armTimeout(this.worker.getIoThread());
+		ClientConnection idle = this.pool.take(call.address());
+		if (idle != null) {
+			exchange.run(idle);
+		}
+		else {
+			connect(call.address(), exchange);
+		}
+		return exchange::abort;
+	}
+
+	/**
+	 * Makes a call and collects the reply.
+	 * @param call the call
+	 * @return the reply, or a {@link CallFailedException}
+	 */
+	public CompletableFuture<HttpReply> call(HttpCall call) {
+		CompletableFuture<HttpReply> future = new CompletableFuture<>();
+		start(call, new CollectingObserver(future));
+		return future;
+	}
+
+	private void connect(InetSocketAddress address, Exchange exchange) {
+		ClientCallback<ClientConnection> callback = new ClientCallback<>() {
+			@Override
+			public void completed(ClientConnection connection) {
+				exchange.run(connection);
+			}
+
+			@Override
+			public void failed(IOException ex) {
+				exchange.fail(CallFailure.NOT_SENT, "no connection to " + address + ": " + ex.getMessage());
+			}
+		};
+		URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort());
+		UndertowClient.getInstance().connect(callback, uri, this.worker, this.buffers, OptionMap.EMPTY);
+	}
+
+	@Override
+	public void close() {
+		if (this.closed.compareAndSet(false, true)) {
+			this.open.forEach(Exchange::abort);
+			this.pool.close();
+			this.worker.shutdownNow();
+			this.buffers.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpField.java
@@ -0,0 +1,10 @@
+package org.rattanhead.client;
+
+/**
+ * One header field.
+ *
+ * @param name the name
+ * @param value the value
+ */
+public record HttpField(String name, String value) {
+}
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/ReplyObserver.java
@@ -0,0 +1,36 @@
+package org.rattanhead.client;
+
+import org.rattanhead.core.Payload;
+
+/**
+ * Receives a reply as it arrives, on an I/O thread. Exactly one of {@link #onEnd} and
+ * {@link #onFailure} ends it.
+ */
+public interface ReplyObserver {
+
+	/**
+	 * Receives status and header fields.
+	 * @param head the head
+	 */
+	void onHead(HttpHead head);
+
+	/**
+	 * Receives a part of the body.
+	 * @param bytes the bytes
+	 * @return false to receive the same bytes again after a short pause
+	 */
+	boolean onBytes(Payload bytes);
+
+	/**
+	 * Receives the end of a whole reply.
+	 */
+	void onEnd();
+
+	/**
+	 * Receives the failure of the call.
+	 * @param failure how it failed
+	 * @param detail what happened
+	 */
+	void onFailure(CallFailure failure, String detail);
+
+}
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -0,0 +1,90 @@
+package org.rattanhead.client.internal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import org.xnio.channels.StreamSourceChannel;
+
+import org.rattanhead.client.CallFailure;
+import org.rattanhead.client.ReplyObserver;
+import org.rattanhead.core.Payload;
+
+/**
+ * Reads a reply from a channel, on the I/O thread of the channel. Pauses while the
+ * observer has no room.
+ */
+final class BodyReader {
+
+	private static final long RETRY_MILLIS = 2;
+
+	private final StreamSourceChannel channel;
+
+	private final ByteBufferPool buffers;
+
+	private final ReplyObserver observer;
+
+	private final Exchange exchange;
+
+	BodyReader(StreamSourceChannel channel, ByteBufferPool buffers, ReplyObserver observer, Exchange exchange) {
+		this.channel = channel;
+		this.buffers = buffers;
+		this.observer = observer;
+		this.exchange = exchange;
+	}
+
+	void read() {
+		try (PooledByteBuffer pooled = this.buffers.allocate()) {
+			readInto(pooled.getBuffer());
+		}
+		catch (IOException ex) {
+			this.exchange.fail(CallFailure.BROKEN, "the reply broke off: " + ex.getMessage());
+		}
+	}
+
+	private void readInto(ByteBuffer buffer) throws IOException {
+		while (!this.exchange.over()) {
+			buffer.clear();
+			int count = this.channel.read(buffer);
+			if (count < 0) {
+				this.exchange.finish();
+				return;
+			}
+			if (count == 0) {
+				this.channel.getReadSetter().set((ready) -> read());
+				this.channel.resumeReads();
+				return;
+			}
+			if (!this.observer.onBytes(copy(buffer.flip()))) {
+				pause(copy(buffer.rewind()));
+				return;
+			}
+		}
+	}
+
+	private void pause(Payload held) {
+		this.channel.suspendReads();
+		this.channel.getIoThread().executeAfter(() -> resume(held), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void resume(Payload held) {
+		if (this.exchange.over()) {
+			return;
+		}
+		if (this.observer.onBytes(held)) {
+			read();
+		}
+		else {
+			pause(held);
+		}
+	}
+
+	private static Payload copy(ByteBuffer buffer) {
+		byte[] bytes = new byte[buffer.remaining()];
+		buffer.get(bytes);
+		return new Payload(bytes);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of the HTTP client.
+ */
+package org.rattanhead.client.internal;
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/Payload.java
@@ -0,0 +1,56 @@
+package org.rattanhead.core;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * An immutable run of bytes. The array is not copied; neither side may change it.
+ *
+ * @param bytes the bytes
+ */
+public record Payload(byte[] bytes) {
+
+	/** A payload without bytes. */
+	public static final Payload EMPTY = new Payload(new byte[0]);
+
+	/**
+	 * Encodes text as UTF-8.
+	 * @param text the text to encode
+	 * @return the encoded text
+	 */
+	public static Payload of(String text) {
+		return new Payload(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Decodes the bytes as UTF-8.
+	 * @return the decoded text
+	 */
+	public String text() {
+		return new String(this.bytes, StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the length.
+	 * @return the number of bytes
+	 */
+	public int length() {
+		return this.bytes.length;
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Payload that && Arrays.equals(this.bytes, that.bytes);
+	}
+
+	@Override
+	public int hashCode() {
+		return Arrays.hashCode(this.bytes);
+	}
+
+	@Override
+	public String toString() {
+		return "Payload[" + this.bytes.length + " bytes]";
+	}
+
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/TimedHandler.java
@@ -0,0 +1,20 @@
+package org.rattanhead.core;
+
+/**
+ * Handles one message at a given time.
+ *
+ * @param <M> the type of the message
+ * @param <R> the result
+ */
+@FunctionalInterface
+public interface TimedHandler<M, R> {
+
+	/**
+	 * Handles a message.
+	 * @param message the message
+	 * @param nowNanos the time on the monotonic clock, in nanoseconds
+	 * @return the result
+	 */
+	R handle(M message, long nowNanos);
+
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/catalogue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The catalogue that operators edit: entries, edits, verdicts and the audit trail.
+ */
+package org.rattanhead.core.catalogue;
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/host/HostList.java
@@ -0,0 +1,31 @@
+package org.rattanhead.core.host;
+
+import java.util.List;
+
+/**
+ * One answer of the platform's host list.
+ *
+ * @param hosts the hosts
+ */
+public record HostList(List<Host> hosts) {
+
+	/** The list before the first answer. */
+	public static final HostList EMPTY = new HostList(List.of());
+
+	/**
+	 * Copies the hosts.
+	 * @param hosts the hosts
+	 */
+	public HostList {
+		hosts = List.copyOf(hosts);
+	}
+
+	/**
+	 * Lists the hosts whose daemons take new work.
+	 * @return the live entry hosts
+	 */
+	public List<Host> liveEntries() {
+		return this.hosts.stream().filter(Host::liveEntry).toList();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/host/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Hosts and their membership as reported by the platform.
+ */
+package org.rattanhead.core.host;
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/request/CallerRequest.java
@@ -0,0 +1,20 @@
+package org.rattanhead.core.request;
+
+/**
+ * A request as a front end decoded it, before any decision.
+ *
+ * @param id the id given by the daemon
+ * @param keySha256 SHA-256 of the caller's key, empty if none was sent
+ * @param target the model or plain service it names
+ * @param call what to send to the upstream
+ * @param promptTokens estimated length of the prompt, in tokens; 0 for a plain service
+ * @param maxOutputTokens the longest answer asked for, in tokens; 0 if the caller named
+ * none
+ * @param timeoutMillis the deadline the caller asked for, in milliseconds; 0 if it named
+ * none
+ * @param idempotencyKey the key of a request that may not be repeated, empty if none was
+ * sent
+ */
+public record CallerRequest(RequestId id, String keySha256, Target target, UpstreamCall call, int promptTokens,
+		int maxOutputTokens, long timeoutMillis, String idempotencyKey) {
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/request/Work.java
@@ -0,0 +1,45 @@
+package org.rattanhead.core.request;
+
+/**
+ * An admitted request on its way to an upstream.
+ *
+ * @param attempt the attempt
+ * @param workspace the workspace it is charged to
+ * @param target what it is for
+ * @param call the call to make
+ * @param priority order of service; a lower number goes first
+ * @param promptTokens estimated length of the prompt, in tokens
+ * @param maxOutputTokens the longest answer, in tokens
+ * @param deadlineNanos when it must have ended, on the monotonic clock of this process
+ * @param idempotencyKey the key of a request that may not be repeated, empty if it may
+ */
+public record Work(AttemptId attempt, String workspace, Target target, UpstreamCall call, int priority,
+		int promptTokens, int maxOutputTokens, long deadlineNanos, String idempotencyKey) {
+
+	/**
+	 * Returns the memory the request needs on an engine.
+	 * @return prompt and answer, in tokens
+	 */
+	public long memoryTokens() {
+		return (long) this.promptTokens + this.maxOutputTokens;
+	}
+
+	/**
+	 * Tells whether another attempt may follow one that may have been run.
+	 * @return true if the request is idempotent
+	 */
+	public boolean repeatable() {
+		return this.idempotencyKey.isEmpty();
+	}
+
+	/**
+	 * Returns the same work under another attempt.
+	 * @param next the attempt
+	 * @return the copy
+	 */
+	public Work as(AttemptId next) {
+		return new Work(next, this.workspace, this.target, this.call, this.priority, this.promptTokens,
+				this.maxOutputTokens, this.deadlineNanos, this.idempotencyKey);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests of callers and the attempts made to answer them.
+ */
+package org.rattanhead.core.request;
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/work/WorkFailed.java
@@ -0,0 +1,13 @@
+package org.rattanhead.core.work;
+
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.request.AttemptId;
+
+/**
+ * The attempt ended without a whole answer.
+ *
+ * @param attempt the attempt
+ * @param problem why
+ */
+public record WorkFailed(AttemptId attempt, Problem problem) implements WorkSignal {
+}
--- /dev/null
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/work/WorkOrder.java
@@ -0,0 +1,16 @@
+package org.rattanhead.core.work;
+
+import org.rattanhead.core.request.AttemptId;
+
+/**
+ * What the entry daemon asks of the lease holder.
+ */
+public sealed interface WorkOrder permits SubmitWork, CancelWork {
+
+	/**
+	 * Returns the attempt that the order is about.
+	 * @return the attempt
+	 */
+	AttemptId attempt();
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -0,0 +1,204 @@
+package org.rattanhead.daemon;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+import org.rattanhead.client.HttpCaller;
+import org.rattanhead.decision.CatalogueView;
+import org.rattanhead.decision.edge.EdgeCatalogueChanged;
+import org.rattanhead.decision.edge.EdgeDecider;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.edge.EdgeMembersChanged;
+import org.rattanhead.decision.edge.EdgeShutdown;
+import org.rattanhead.decision.edge.EdgeTick;
+import org.rattanhead.decision.holder.HolderCatalogueChanged;
+import org.rattanhead.decision.holder.HolderDecider;
+import org.rattanhead.decision.holder.HolderEvent;
+import org.rattanhead.decision.holder.HolderMembersChanged;
+import org.rattanhead.decision.holder.HolderShutdown;
+import org.rattanhead.decision.holder.HolderTick;
+import org.rattanhead.decision.membership.GoodbyeReceived;
+import org.rattanhead.decision.membership.Membership;
+import org.rattanhead.decision.placement.PlacementPolicies;
+import org.rattanhead.http.FrontEnd;
+import org.rattanhead.http.FrontEndPages;
+import org.rattanhead.peer.PeerNetwork;
+import org.rattanhead.platform.HttpHostListService;
+import org.rattanhead.platform.HttpLogService;
+import org.rattanhead.platform.catalogue.CatalogueHistory;
+import org.rattanhead.platform.catalogue.CatalogueTail;
+import org.rattanhead.ring.Duty;
+import org.rattanhead.ring.Ticker;
+import org.rattanhead.ring.Urgency;
+import org.rattanhead.upstream.UpstreamDuty;
+
+/**
+ * One daemon: its duties and the rings between them.
+ */
+public final class Daemon implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
+
+	private static final int RING_SLOTS = 32_768;
+
+	private static final int IO_THREADS = 2;
+
+	private static final long TICK_MILLIS = 10;
+
+	private final DaemonSettings settings;
+
+	private final StatusBoard board = new StatusBoard();
+
+	private final DaemonMetrics metrics = new DaemonMetrics(() -> this.board.catalogue().offset());
+
+	private final CompletableFuture<Void> edgeDrained = new CompletableFuture<>();
+
+	private final CompletableFuture<Void> holderDrained = new CompletableFuture<>();
+
+	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+	private final EdgeRouter edgeRouter;
+
+	private final HolderRouter holderRouter;
+
+	private final Duty<EdgeEvent> edge;
+
+	private final Duty<HolderEvent> holder;
+
+	private final MembershipDuty membership;
+
+	private final PeerNetwork network;
+
+	private final PeerDuty peers;
+
+	/**
+	 * Starts a daemon.
+	 * @param settings the settings
+	 */
+	public Daemon(DaemonSettings settings) {
+		this.settings = settings;
+		String self = settings.host();
+		EdgeDecider edgeDecider = new EdgeDecider(PlacementPolicies.leastWork(), new Random(self.hashCode()));
+		HolderDecider holderDecider = new HolderDecider(self);
+		HttpCaller platformCaller = own(new HttpCaller("platform", 1));
+		HttpCaller upstreamCaller = own(new HttpCaller("upstream", IO_THREADS));
+		this.edge = own(new Duty<>("edge", RING_SLOTS, System::nanoTime,
+				(event, now) -> edgeDecider.decide(event, now).forEach((command) -> edgeRouter().route(command, now))));
+		this.holder = own(new Duty<>("holder", RING_SLOTS, System::nanoTime, (event,
+				now) -> holderDecider.decide(event, now).forEach((command) -> holderRouter().route(command, now))));
+		this.membership = own(new MembershipDuty(self,
+				new HttpHostListService(platformCaller, settings.hostListAddress()), this::membershipChanged));
+		this.network = own(
+				new PeerNetwork(settings.peers(), new PeerInbox(this.edge, this.holder, this.membership, this.board)));
+		this.peers = own(new PeerDuty(this.network, this.edge));
+		UpstreamDuty upstreams = own(new UpstreamDuty(upstreamCaller, this.holder, this.metrics::countCrossedAnswer));
+		FrontEnd frontEnd = own(new FrontEnd(self, settings.callers(), this.edge, pages(), this.metrics));
+		DeliveryDuty delivery = own(new DeliveryDuty(frontEnd.answers(), this.edge));
+		this.edgeRouter = new EdgeRouter(self, this.edge, this.holder, this.peers, delivery, this.metrics,
+				() -> this.edgeDrained.complete(null));
+		this.holderRouter = new HolderRouter(self, this.edge, this.holder, this.peers, upstreams, this.board,
+				this.metrics, () -> this.holderDrained.complete(null));
+		this.metrics.watch(List.of(this.edge, this.holder, this.membership.duty(), this.peers.duty(), upstreams.duty(),
+				delivery.duty()));
+		startTicking(platformCaller);
+		LOGGER.info("daemon: {} serves callers at {}", self, settings.callers().listenAddress());
+	}
+
+	/**
+	 * Shuts down without cutting a request: announces it, waits until callers use other
+	 * addresses, refuses new work, and waits for running requests.
+	 */
+	public void drain() {
+		LOGGER.info("daemon: shutting down; new work is taken for another {} ms", this.settings.drainDelayMillis());
+		this.board.drain();
+		this.network.goodbye();
+		this.membership.offer(new GoodbyeReceived(this.settings.host()), Urgency.CONTROL);
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.settings.drainDelayMillis());
+			this.edge.offer(new EdgeShutdown(), Urgency.CONTROL);
+			this.edgeDrained.get(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS);
+			this.holder.offer(new HolderShutdown(), Urgency.CONTROL);
+			this.holderDrained.get(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS);
+			LOGGER.info("daemon: every request has finished");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			LOGGER.warn("daemon: some requests still run after {} ms; raise drain-timeout to wait longer",
+					this.settings.drainTimeoutMillis());
+		}
+	}
+
+	/**
+	 * Tells whether the daemon takes new work.
+	 * @return true if it has a catalogue and knows its peers
+	 */
+	public boolean ready() {
+		return this.board.ready();
+	}
+
+	private EdgeRouter edgeRouter() {
+		return this.edgeRouter;
+	}
+
+	private HolderRouter holderRouter() {
+		return this.holderRouter;
+	}
+
+	private FrontEndPages pages() {
+		return new FrontEndPages(this.board::catalogue, this.board::membership, this.board::ready, this.metrics::page,
+				() -> StatusPage.encode(this.settings.host(), this.board));
+	}
+
+	private void startTicking(HttpCaller platformCaller) {
+		Ticker ticker = own(new Ticker("ticker"));
+		ticker.every(TICK_MILLIS, () -> this.edge.offer(new EdgeTick(), Urgency.STREAM));
+		ticker.every(TICK_MILLIS, () -> this.holder.offer(new HolderTick(), Urgency.STREAM));
+		this.membership.start(ticker);
+		own(new CatalogueTail(new HttpLogService(platformCaller, this.settings.logServiceAddress()), ticker,
+				this::catalogueChanged));
+	}
+
+	private void catalogueChanged(CatalogueHistory history) {
+		CatalogueView view = new CatalogueView(history.catalogue());
+		this.board.catalogue(history.catalogue());
+		this.edge.offer(new EdgeCatalogueChanged(view), Urgency.CONTROL);
+		this.holder.offer(new HolderCatalogueChanged(view), Urgency.CONTROL);
+	}
+
+	private void membershipChanged(Membership next) {
+		this.board.membership(next);
+		this.peers.peers(next.peers());
+		this.edge.offer(new EdgeMembersChanged(next.members(), next.leavingUpstreams()), Urgency.CONTROL);
+		this.holder.offer(new HolderMembersChanged(next.members(), next.leavingUpstreams()), Urgency.CONTROL);
+	}
+
+	private <T extends AutoCloseable> T own(T resource) {
+		this.resources.push(resource);
+		return resource;
+	}
+
+	@Override
+	public void close() {
+		while (!this.resources.isEmpty()) {
+			AutoCloseable resource = this.resources.pop();
+			try {
+				resource.close();
+			}
+			catch (Exception ex) {
+				LOGGER.warn("daemon: {} did not close cleanly", resource.getClass().getSimpleName(), ex);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonSettingsFile.java
@@ -0,0 +1,137 @@
+package org.rattanhead.daemon;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.rattanhead.core.host.HostAddress;
+import org.rattanhead.http.FrontEndSettings;
+import org.rattanhead.peer.PeerSettings;
+import org.rattanhead.settings.IniFile;
+import org.rattanhead.settings.IniSection;
+import org.rattanhead.settings.SectionReader;
+import org.rattanhead.settings.SettingFault;
+import org.rattanhead.settings.SettingsException;
+
+/**
+ * Reads the settings of a daemon from an INI file.
+ */
+public final class DaemonSettingsFile {
+
+	private static final Set<String> SECTIONS = Set.of("daemon", "callers", "peers", "platform", "logs", "shutdown");
+
+	private static final int MAX_IO_THREADS = 64;
+
+	private static final int DEFAULT_IO_THREADS = 2;
+
+	private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+	private static final int DEFAULT_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final long DEFAULT_BODY_TIMEOUT_MILLIS = 10_000;
+
+	private static final long DEFAULT_ADDRESS_TTL_MILLIS = 2_000;
+
+	private static final long DEFAULT_PING_MILLIS = 500;
+
+	private static final long DEFAULT_SILENCE_MILLIS = 2_000;
+
+	private static final long DEFAULT_DRAIN_TIMEOUT_MILLIS = 120_000;
+
+	private final IniFile file;
+
+	private final List<SettingFault> faults = new ArrayList<>();
+
+	private DaemonSettingsFile(IniFile file) {
+		this.file = file;
+	}
+
+	/**
+	 * Reads and checks a file.
+	 * @param path the file
+	 * @return the settings
+	 * @throws SettingsException with every fault found
+	 */
+	public static DaemonSettings read(Path path) {
+		return parse(IniFile.read(path));
+	}
+
+	/**
+	 * Checks the sections of a file.
+	 * @param file the sections
+	 * @return the settings
+	 * @throws SettingsException with every fault found
+	 */
+	public static DaemonSettings parse(IniFile file) {
+		return new DaemonSettingsFile(file).settings();
+	}
+
+	private DaemonSettings settings() {
+		reportUnknownSections();
+		SectionReader daemon = section("daemon");
+		String host = daemon.text("host");
+		daemon.reportUnknownKeys();
+		FrontEndSettings callers = callers(section("callers"));
+		PeerSettings peers = peers(host, section("peers"));
+		SectionReader platform = section("platform");
+		InetSocketAddress logService = address(platform, "log-service");
+		InetSocketAddress hostList = address(platform, "host-list");
+		platform.reportUnknownKeys();
+		LogSettings logs = logs(section("logs"));
+		SectionReader shutdown = section("shutdown");
+		long delayMillis = shutdown.durationMillis("drain-delay", callers.addressTtlMillis());
+		long timeoutMillis = shutdown.durationMillis("drain-timeout", DEFAULT_DRAIN_TIMEOUT_MILLIS);
+		shutdown.reportUnknownKeys();
+		if (!this.faults.isEmpty()) {
+			throw new SettingsException(this.faults);
+		}
+		return new DaemonSettings(host, callers, peers, logService, hostList, logs, delayMillis, timeoutMillis);
+	}
+
+	private FrontEndSettings callers(SectionReader section) {
+		FrontEndSettings settings = new FrontEndSettings(address(section, "listen"),
+				section.integer("io-threads", 1, MAX_IO_THREADS, DEFAULT_IO_THREADS),
+				section.integer("max-body-bytes", 1, MAX_BODY_BYTES, DEFAULT_BODY_BYTES),
+				section.durationMillis("body-timeout", DEFAULT_BODY_TIMEOUT_MILLIS),
+				section.durationMillis("address-ttl", DEFAULT_ADDRESS_TTL_MILLIS));
+		section.reportUnknownKeys();
+		return settings;
+	}
+
+	private PeerSettings peers(String host, SectionReader section) {
+		PeerSettings settings = new PeerSettings(host, address(section, "listen"),
+				section.durationMillis("ping", DEFAULT_PING_MILLIS),
+				section.durationMillis("silence", DEFAULT_SILENCE_MILLIS));
+		section.reportUnknownKeys();
+		return settings;
+	}
+
+	private static LogSettings logs(SectionReader section) {
+		LogSettings settings = new LogSettings(section.choice("format", LogFormat.class, LogFormat.TEXT),
+				section.choice("level", LogLevel.class, LogLevel.INFO).level());
+		section.reportUnknownKeys();
+		return settings;
+	}
+
+	private static InetSocketAddress address(SectionReader section, String key) {
+		String text = section.address(key);
+		return HostAddress.valid(text) ? HostAddress.parse(text) : new InetSocketAddress(0);
+	}
+
+	private SectionReader section(String name) {
+		IniSection section = this.file.section(name).orElse(new IniSection(name, Map.of()));
+		return new SectionReader(this.file.name(), section, this.faults::add);
+	}
+
+	private void reportUnknownSections() {
+		this.file.sections()
+			.stream()
+			.filter((section) -> !SECTIONS.contains(section.name()))
+			.forEach((section) -> this.faults.add(new SettingFault(this.file.name(), section.name(), "",
+					"there is no such section", "remove it, or use one of " + SECTIONS.stream().sorted().toList())));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DeliveryDuty.java
@@ -0,0 +1,85 @@
+package org.rattanhead.daemon;
+
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.request.RequestId;
+import org.rattanhead.decision.edge.BreakAnswer;
+import org.rattanhead.decision.edge.CallerGone;
+import org.rattanhead.decision.edge.EdgeCommand;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.edge.EndAnswer;
+import org.rattanhead.decision.edge.RefuseCaller;
+import org.rattanhead.decision.edge.StartAnswer;
+import org.rattanhead.decision.edge.WriteAnswer;
+import org.rattanhead.http.AnswerWriter;
+import org.rattanhead.ring.Duty;
+import org.rattanhead.ring.EventSink;
+import org.rattanhead.ring.Urgency;
+
+/**
+ * The duty that hands answers to the connections of callers. An answer that finds no room
+ * is broken off.
+ */
+final class DeliveryDuty implements AutoCloseable {
+
+	private static final int RING_SLOTS = 32_768;
+
+	private final Duty<EdgeCommand> duty;
+
+	private final EventSink<EdgeEvent> edge;
+
+	DeliveryDuty(AnswerWriter answers, EventSink<EdgeEvent> edge) {
+		this.edge = edge;
+		HandlerTable<EdgeCommand, Boolean> handlers = new HandlerTable<EdgeCommand, Boolean>()
+			.on(StartAnswer.class, (command, now) -> {
+				answers.start(command.request(), command.upstream(), command.status(), command.contentType());
+				return true;
+			})
+			.on(WriteAnswer.class, (command, now) -> {
+				answers.write(command.request(), command.bytes());
+				return true;
+			})
+			.on(EndAnswer.class, (command, now) -> {
+				answers.end(command.request());
+				return true;
+			})
+			.on(RefuseCaller.class, (command, now) -> {
+				answers.refuse(command.request(), command.problem());
+				return true;
+			})
+			.on(BreakAnswer.class, (command, now) -> {
+				answers.breakOff(command.request(), command.problem());
+				return true;
+			});
+		this.duty = new Duty<>("delivery", RING_SLOTS, System::nanoTime, handlers::handle);
+	}
+
+	void deliver(EdgeCommand command) {
+		this.duty.offer(command, Urgency.CONTROL);
+	}
+
+	void write(WriteAnswer command) {
+		if (!this.duty.offer(command, Urgency.STREAM)) {
+			abandon(command.request());
+		}
+	}
+
+	Duty<?> duty() {
+		return this.duty;
+	}
+
+	private void abandon(RequestId request) {
+		this.edge.offer(new CallerGone(request), Urgency.CONTROL);
+		this.duty.offer(
+				new BreakAnswer(request,
+						Problem.failed(ProblemKind.OVERLOADED, "The daemon could not pass the answer on in time.")),
+				Urgency.CONTROL);
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/EdgeRouter.java
@@ -0,0 +1,81 @@
+package org.rattanhead.daemon;
+
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.work.SubmitWork;
+import org.rattanhead.core.work.WorkFailed;
+import org.rattanhead.decision.edge.BreakAnswer;
+import org.rattanhead.decision.edge.CountEdgeEvent;
+import org.rattanhead.decision.edge.EdgeCommand;
+import org.rattanhead.decision.edge.EdgeDrained;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.edge.EndAnswer;
+import org.rattanhead.decision.edge.RefuseCaller;
+import org.rattanhead.decision.edge.SendOrder;
+import org.rattanhead.decision.edge.SignalReceived;
+import org.rattanhead.decision.edge.StartAnswer;
+import org.rattanhead.decision.edge.WriteAnswer;
+import org.rattanhead.decision.holder.HolderEvent;
+import org.rattanhead.decision.holder.OrderReceived;
+import org.rattanhead.ring.EventSink;
+import org.rattanhead.ring.Urgency;
+
+/**
+ * Passes the commands of the edge to the rings of other duties.
+ */
+final class EdgeRouter {
+
+	private final String self;
+
+	private final EventSink<EdgeEvent> edge;
+
+	private final EventSink<HolderEvent> holder;
+
+	private final PeerDuty peers;
+
+	private final HandlerTable<EdgeCommand, Boolean> routes;
+
+	EdgeRouter(String self, EventSink<EdgeEvent> edge, EventSink<HolderEvent> holder, PeerDuty peers,
+			DeliveryDuty delivery, DaemonMetrics metrics, Runnable onDrained) {
+		this.self = self;
+		this.edge = edge;
+		this.holder = holder;
+		this.peers = peers;
+		this.routes = new HandlerTable<EdgeCommand, Boolean>().on(SendOrder.class, (command, now) -> order(command))
+			.on(WriteAnswer.class, (command, now) -> done(() -> delivery.write(command)))
+			.on(StartAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
+			.on(EndAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
+			.on(RefuseCaller.class, (command, now) -> done(() -> delivery.deliver(command)))
+			.on(BreakAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
+			.on(CountEdgeEvent.class, (command, now) -> done(() -> metrics.count(command)))
+			.on(EdgeDrained.class, (command, now) -> done(onDrained))
+			.covering(EdgeCommand.class);
+	}
+
+	void route(EdgeCommand command, long nowNanos) {
+		this.routes.handle(command, nowNanos);
+	}
+
+	private boolean order(SendOrder command) {
+		if (!command.toHost().equals(this.self)) {
+			this.peers.order(command.toHost(), command.order());
+			return true;
+		}
+		boolean submit = command.order() instanceof SubmitWork;
+		boolean taken = this.holder.offer(new OrderReceived(this.self, command.order()),
+				submit ? Urgency.NEW_WORK : Urgency.CONTROL);
+		if (!taken && submit) {
+			Problem problem = Problem.notRun(ProblemKind.OVERLOADED, "The lease holder is too busy.");
+			this.edge.offer(new SignalReceived(this.self, new WorkFailed(command.order().attempt(), problem)),
+					Urgency.CONTROL);
+		}
+		return taken;
+	}
+
+	private static boolean done(Runnable action) {
+		action.run();
+		return true;
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/LogLevel.java
@@ -0,0 +1,22 @@
+package org.rattanhead.daemon;
+
+import org.apache.logging.log4j.Level;
+
+/**
+ * The levels that settings may name.
+ */
+enum LogLevel {
+
+	ERROR(Level.ERROR), WARN(Level.WARN), INFO(Level.INFO), DEBUG(Level.DEBUG);
+
+	private final Level level;
+
+	LogLevel(Level level) {
+		this.level = level;
+	}
+
+	Level level() {
+		return this.level;
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/LogSettings.java
@@ -0,0 +1,12 @@
+package org.rattanhead.daemon;
+
+import org.apache.logging.log4j.Level;
+
+/**
+ * Settings of the logs.
+ *
+ * @param format the format of the lines
+ * @param level the least level that is written
+ */
+public record LogSettings(LogFormat format, Level level) {
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/OrderToPeer.java
@@ -0,0 +1,12 @@
+package org.rattanhead.daemon;
+
+import org.rattanhead.core.work.WorkOrder;
+
+/**
+ * Send an order.
+ *
+ * @param host the lease holder
+ * @param order the order
+ */
+record OrderToPeer(String host, WorkOrder order) implements PeerTask {
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/PeerInbox.java
@@ -0,0 +1,76 @@
+package org.rattanhead.daemon;
+
+import java.util.List;
+
+import org.rattanhead.core.upstream.UpstreamDigest;
+import org.rattanhead.core.work.SubmitWork;
+import org.rattanhead.core.work.WorkChunk;
+import org.rattanhead.core.work.WorkOrder;
+import org.rattanhead.core.work.WorkSignal;
+import org.rattanhead.decision.edge.DigestsReceived;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.edge.PeerLost;
+import org.rattanhead.decision.edge.SignalReceived;
+import org.rattanhead.decision.holder.EntryLost;
+import org.rattanhead.decision.holder.HolderEvent;
+import org.rattanhead.decision.holder.OrderReceived;
+import org.rattanhead.decision.membership.GoodbyeReceived;
+import org.rattanhead.decision.membership.LinkDown;
+import org.rattanhead.decision.membership.LinkUp;
+import org.rattanhead.decision.membership.MembershipEvent;
+import org.rattanhead.peer.PeerListener;
+import org.rattanhead.ring.EventSink;
+import org.rattanhead.ring.Urgency;
+
+/**
+ * Passes what other daemons send to the rings of the duties.
+ *
+ * @param edge the ring of the edge
+ * @param holder the ring of the lease holder
+ * @param membership the ring of membership
+ * @param board where digests are shown
+ */
+record PeerInbox(EventSink<EdgeEvent> edge, EventSink<HolderEvent> holder, EventSink<MembershipEvent> membership,
+		StatusBoard board) implements PeerListener {
+
+	@Override
+	public void onLinkUp(String host) {
+		this.membership.offer(new LinkUp(host), Urgency.CONTROL);
+	}
+
+	@Override
+	public void onLinkDown(String host) {
+		this.board.forget(host);
+		this.membership.offer(new LinkDown(host), Urgency.CONTROL);
+		this.edge.offer(new PeerLost(host), Urgency.CONTROL);
+	}
+
+	@Override
+	public void onEntryLost(String host) {
+		this.holder.offer(new EntryLost(host), Urgency.CONTROL);
+	}
+
+	@Override
+	public void onGoodbye(String host) {
+		this.membership.offer(new GoodbyeReceived(host), Urgency.CONTROL);
+	}
+
+	@Override
+	public boolean onOrder(String host, WorkOrder order) {
+		Urgency urgency = (order instanceof SubmitWork) ? Urgency.NEW_WORK : Urgency.CONTROL;
+		return this.holder.offer(new OrderReceived(host, order), urgency);
+	}
+
+	@Override
+	public boolean onSignal(String host, WorkSignal signal) {
+		Urgency urgency = (signal instanceof WorkChunk) ? Urgency.STREAM : Urgency.CONTROL;
+		return this.edge.offer(new SignalReceived(host, signal), urgency);
+	}
+
+	@Override
+	public void onDigests(String host, List<UpstreamDigest> digests) {
+		this.board.digests(host, digests);
+		this.edge.offer(new DigestsReceived(host, digests), Urgency.STREAM);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/PeerTask.java
@@ -0,0 +1,8 @@
+package org.rattanhead.daemon;
+
+/**
+ * What the peer duty has to send.
+ */
+sealed interface PeerTask permits OrderToPeer, SignalToPeer, DigestsToPeers, PeersWanted {
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/SignalToPeer.java
@@ -0,0 +1,12 @@
+package org.rattanhead.daemon;
+
+import org.rattanhead.core.work.WorkSignal;
+
+/**
+ * Send a signal.
+ *
+ * @param host the entry daemon
+ * @param signal the signal
+ */
+record SignalToPeer(String host, WorkSignal signal) implements PeerTask {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/catalogue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How the catalogue follows from the records of the log: the same on every daemon.
+ */
+package org.rattanhead.decision.catalogue;
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/AdmissionRule.java
@@ -0,0 +1,20 @@
+package org.rattanhead.decision.edge;
+
+import java.util.Optional;
+
+import org.rattanhead.core.problem.Problem;
+
+/**
+ * A condition that a request must satisfy to be admitted.
+ */
+@FunctionalInterface
+interface AdmissionRule {
+
+	/**
+	 * Checks a request.
+	 * @param context the request and what is known
+	 * @return the reason to refuse it, empty if the condition holds
+	 */
+	Optional<Problem> check(AdmissionContext context);
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/CallerGone.java
@@ -0,0 +1,11 @@
+package org.rattanhead.decision.edge;
+
+import org.rattanhead.core.request.RequestId;
+
+/**
+ * The caller's connection closed before the answer was whole.
+ *
+ * @param request the request
+ */
+public record CallerGone(RequestId request) implements EdgeEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/DigestsReceived.java
@@ -0,0 +1,14 @@
+package org.rattanhead.decision.edge;
+
+import java.util.List;
+
+import org.rattanhead.core.upstream.UpstreamDigest;
+
+/**
+ * A lease holder published the state of its upstreams.
+ *
+ * @param fromHost the lease holder
+ * @param digests one for each upstream it holds
+ */
+public record DigestsReceived(String fromHost, List<UpstreamDigest> digests) implements EdgeEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeCatalogueChanged.java
@@ -0,0 +1,11 @@
+package org.rattanhead.decision.edge;
+
+import org.rattanhead.decision.CatalogueView;
+
+/**
+ * Another catalogue is in force.
+ *
+ * @param view the catalogue
+ */
+public record EdgeCatalogueChanged(CatalogueView view) implements EdgeEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeCommand.java
@@ -0,0 +1,9 @@
+package org.rattanhead.decision.edge;
+
+/**
+ * What the edge wants done.
+ */
+public sealed interface EdgeCommand
+		permits SendOrder, StartAnswer, WriteAnswer, EndAnswer, RefuseCaller, BreakAnswer, CountEdgeEvent, EdgeDrained {
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeDrained.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.edge;
+
+/**
+ * The daemon shuts down and no request is left.
+ */
+public record EdgeDrained() implements EdgeCommand {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeShutdown.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.edge;
+
+/**
+ * The daemon shuts down: no new requests, the running ones finish.
+ */
+public record EdgeShutdown() implements EdgeEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeTick.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.edge;
+
+/**
+ * Time has passed.
+ */
+public record EdgeTick() implements EdgeEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/PendingRequest.java
@@ -0,0 +1,29 @@
+package org.rattanhead.decision.edge;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.rattanhead.core.request.Work;
+
+/**
+ * A request that has no whole answer yet.
+ *
+ * @param work the work of the current attempt
+ * @param upstream the upstream it was sent to
+ * @param holder the daemon it was sent through
+ * @param answering whether a part of the answer reached the caller
+ * @param excluded upstreams that failed it
+ */
+record PendingRequest(Work work, String upstream, String holder, boolean answering, Set<String> excluded) {
+
+	PendingRequest answeringNow() {
+		return new PendingRequest(this.work, this.upstream, this.holder, true, this.excluded);
+	}
+
+	Set<String> excludedWithCurrent() {
+		Set<String> all = new HashSet<>(this.excluded);
+		all.add(this.upstream);
+		return Set.copyOf(all);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/RefuseCaller.java
@@ -0,0 +1,13 @@
+package org.rattanhead.decision.edge;
+
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.request.RequestId;
+
+/**
+ * Send a problem document to the caller, before any part of an answer.
+ *
+ * @param request the request
+ * @param problem the problem
+ */
+public record RefuseCaller(RequestId request, Problem problem) implements EdgeCommand {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/holder/ColdStartGate.java
@@ -0,0 +1,35 @@
+package org.rattanhead.decision.holder;
+
+import org.rattanhead.core.upstream.UpstreamLoad;
+
+/**
+ * Decides whether an upstream may be treated as warm. Reports lag, so after a disruption
+ * every report that may describe the time before it is ignored. Owned by one duty.
+ */
+final class ColdStartGate {
+
+	private static final long REPORT_LAG_NANOS = 2_000_000_000L;
+
+	private boolean warm;
+
+	private String bootId = "";
+
+	private long distrustReportsUntilNanos = Long.MIN_VALUE;
+
+	boolean warm() {
+		return this.warm;
+	}
+
+	void disrupted(long nowNanos) {
+		this.warm = false;
+		this.distrustReportsUntilNanos = nowNanos + REPORT_LAG_NANOS;
+	}
+
+	void reported(UpstreamLoad load, long nowNanos) {
+		boolean restarted = !this.bootId.isEmpty() && !this.bootId.equals(load.bootId());
+		this.bootId = load.bootId();
+		boolean trusted = restarted || nowNanos >= this.distrustReportsUntilNanos;
+		this.warm = trusted && !load.cold();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/holder/HolderDecider.java
@@ -0,0 +1,282 @@
+package org.rattanhead.decision.holder;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.catalogue.UpstreamEntry;
+import org.rattanhead.core.host.Host;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.core.upstream.UpstreamDigest;
+import org.rattanhead.core.work.CancelWork;
+import org.rattanhead.core.work.SubmitWork;
+import org.rattanhead.core.work.WorkEnded;
+import org.rattanhead.core.work.WorkFailed;
+import org.rattanhead.core.work.WorkOrder;
+import org.rattanhead.core.work.WorkSignal;
+import org.rattanhead.decision.Fleet;
+
+/**
+ * Decides for the upstreams whose lease this daemon holds. Only the lease holder sends
+ * work to an upstream, so its limits have one writer. The state is owned by one duty.
+ */
+public final class HolderDecider {
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private static final long PUBLISH_PERIOD_NANOS = 100_000_000;
+
+	private static final long POLL_PERIOD_NANOS = 200_000_000;
+
+	private final HandlerTable<HolderEvent, List<HolderCommand>> events = new HandlerTable<>();
+
+	private final String self;
+
+	private final LaneTable lanes = new LaneTable();
+
+	private Fleet fleet = Fleet.EMPTY;
+
+	private boolean shuttingDown;
+
+	private long nextPublishNanos = Long.MIN_VALUE;
+
+	private long nextPollNanos = Long.MIN_VALUE;
+
+	/**
+	 * Creates the decider of one daemon.
+	 * @param self the name of this daemon
+	 */
+	public HolderDecider(String self) {
+		this.self = self;
+		this.events.on(OrderReceived.class, this::order)
+			.on(UpstreamSignal.class, this::signal)
+			.on(LoadReported.class, this::loadReported)
+			.on(LoadMissing.class, this::loadMissing)
+			.on(HolderCatalogueChanged.class, (event, now) -> fleetChanged(this.fleet.with(event.view())))
+			.on(HolderMembersChanged.class,
+					(event, now) -> fleetChanged(this.fleet.with(event.members(), event.leavingUpstreams())))
+			.on(EntryLost.class, (event, now) -> entryLost(event.host()))
+			.on(HolderTick.class, (event, now) -> tick(now))
+			.on(HolderShutdown.class, (event, now) -> shutdown())
+			.covering(HolderEvent.class);
+	}
+
+	/**
+	 * Decides on one event.
+	 * @param event the event
+	 * @param nowNanos the time on the monotonic clock, in nanoseconds
+	 * @return the commands, in order
+	 */
+	public List<HolderCommand> decide(HolderEvent event, long nowNanos) {
+		return this.events.handle(event, nowNanos);
+	}
+
+	private List<HolderCommand> order(OrderReceived event, long nowNanos) {
+		WorkOrder order = event.order();
+		if (order instanceof SubmitWork submit) {
+			return submit(event.fromHost(), submit);
+		}
+		return cancel((CancelWork) order);
+	}
+
+	private List<HolderCommand> submit(String fromHost, SubmitWork submit) {
+		UpstreamEntry upstream = this.fleet.view().upstreams().get(submit.upstream());
+		Optional<Problem> refusal = refusal(upstream, submit);
+		if (refusal.isPresent()) {
+			return List.of(new CountHolderEvent(HolderMetric.REFUSED, refusal.get().kind().slug()),
+					new SendSignal(fromHost, new WorkFailed(submit.attempt(), refusal.get())));
+		}
+		UpstreamLane lane = this.lanes.open(upstream);
+		this.lanes.enqueue(lane, fromHost, submit.work());
+		return dispatch(lane);
+	}
+
+	private Optional<Problem> refusal(UpstreamEntry upstream, SubmitWork submit) {
+		if (this.shuttingDown) {
+			return notRun(ProblemKind.SHUTTING_DOWN, "The lease holder of the upstream is shutting down.");
+		}
+		if (upstream == null || !holds(upstream)) {
+			return notRun(ProblemKind.NO_UPSTREAM,
+					"Daemon '" + this.self + "' does not hold the lease of '" + submit.upstream() + "'.");
+		}
+		if (!this.fleet.takesWork(upstream)) {
+			return notRun(ProblemKind.NO_UPSTREAM, "Upstream '" + upstream.name() + "' takes no new work.");
+		}
+		if (this.lanes.find(upstream.name()).filter(UpstreamLane::full).isPresent()) {
+			return notRun(ProblemKind.OVERLOADED, "The queue of upstream '" + upstream.name() + "' is full.");
+		}
+		return Optional.empty();
+	}
+
+	private boolean holds(UpstreamEntry upstream) {
+		return this.fleet.holder(upstream).map(Host::name).filter(this.self::equals).isPresent();
+	}
+
+	private List<HolderCommand> dispatch(UpstreamLane lane) {
+		List<HolderCommand> commands = new ArrayList<>();
+		Optional<HeldWork> next = lane.dispatchNext();
+		while (next.isPresent()) {
+			commands.add(new CountHolderEvent(HolderMetric.DISPATCHED, lane.upstream().name()));
+			commands.add(new CallUpstream(lane.upstream(), next.get().work()));
+			next = lane.dispatchNext();
+		}
+		return commands;
+	}
+
+	private List<HolderCommand> cancel(CancelWork cancel) {
+		return this.lanes.find(cancel.attempt()).map((lane) -> abandon(lane, cancel.attempt())).orElse(List.of());
+	}
+
+	private List<HolderCommand> entryLost(String host) {
+		return this.lanes.attemptsOf(host)
+			.stream()
+			.flatMap((attempt) -> cancel(new CancelWork(attempt)).stream())
+			.toList();
+	}
+
+	private List<HolderCommand> abandon(UpstreamLane lane, AttemptId attempt) {
+		List<HolderCommand> commands = new ArrayList<>();
+		lane.removeWaiting(attempt);
+		if (lane.endRunning(attempt).isPresent()) {
+			commands.add(new AbortCall(lane.upstream(), attempt));
+		}
+		this.lanes.forget(attempt);
+		commands.addAll(dispatch(lane));
+		return withDrained(commands);
+	}
+
+	private List<HolderCommand> signal(UpstreamSignal event, long nowNanos) {
+		WorkSignal signal = event.signal();
+		Optional<UpstreamLane> lane = this.lanes.find(signal.attempt());
+		Optional<HeldWork> held = lane.flatMap((found) -> found.findRunning(signal.attempt()));
+		if (event.disrupted()) {
+			this.lanes.find(event.upstream()).ifPresent((found) -> found.gate().disrupted(nowNanos));
+		}
+		if (held.isEmpty()) {
+			return List.of(new CountHolderEvent(HolderMetric.DROPPED_SIGNAL, event.upstream()));
+		}
+		List<HolderCommand> commands = new ArrayList<>();
+		commands.add(new SendSignal(held.get().fromHost(), signal));
+		if (signal instanceof WorkEnded || signal instanceof WorkFailed) {
+			lane.get().endRunning(signal.attempt());
+			this.lanes.forget(signal.attempt());
+			commands.addAll(dispatch(lane.get()));
+		}
+		return withDrained(commands);
+	}
+
+	private List<HolderCommand> loadReported(LoadReported event, long nowNanos) {
+		return this.lanes.find(event.upstream()).map((lane) -> {
+			lane.gate().reported(event.load(), nowNanos);
+			return dispatch(lane);
+		}).orElse(List.of());
+	}
+
+	private List<HolderCommand> loadMissing(LoadMissing event, long nowNanos) {
+		return this.lanes.find(event.upstream()).map((lane) -> {
+			lane.gate().disrupted(nowNanos);
+			return List.<HolderCommand>of(new CountHolderEvent(HolderMetric.COLD_START, event.upstream()));
+		}).orElse(List.of());
+	}
+
+	private List<HolderCommand> tick(long nowNanos) {
+		List<HolderCommand> commands = new ArrayList<>();
+		for (AttemptId attempt : this.lanes.expire(nowNanos)) {
+			commands.addAll(expire(attempt));
+		}
+		if (nowNanos >= this.nextPublishNanos) {
+			this.nextPublishNanos = nowNanos + PUBLISH_PERIOD_NANOS;
+			commands.add(new PublishDigests(digests()));
+		}
+		if (nowNanos >= this.nextPollNanos) {
+			this.nextPollNanos = nowNanos + POLL_PERIOD_NANOS;
+			this.lanes.all()
+				.stream()
+				.filter((lane) -> lane.upstream().engine())
+				.forEach((lane) -> commands.add(new PollLoad(lane.upstream())));
+		}
+		return commands;
+	}
+
+	private List<HolderCommand> expire(AttemptId attempt) {
+		UpstreamLane lane = this.lanes.find(attempt).orElseThrow();
+		boolean running = lane.findRunning(attempt).isPresent();
+		String fromHost = (running ? lane.findRunning(attempt) : lane.removeWaiting(attempt)).orElseThrow().fromHost();
+		Problem problem = running
+				? Problem.failed(ProblemKind.DEADLINE_EXCEEDED, "The deadline passed while the upstream ran it.")
+				: Problem.notRun(ProblemKind.DEADLINE_EXCEEDED, "The deadline passed while it waited.");
+		List<HolderCommand> commands = new ArrayList<>();
+		commands.add(new SendSignal(fromHost, new WorkFailed(attempt, problem)));
+		commands.addAll(abandon(lane, attempt));
+		return commands;
+	}
+
+	private List<UpstreamDigest> digests() {
+		return this.lanes.all()
+			.stream()
+			.filter((lane) -> holds(lane.upstream()))
+			.map((lane) -> lane.digest(!this.shuttingDown && this.fleet.takesWork(lane.upstream())))
+			.toList();
+	}
+
+	private List<HolderCommand> fleetChanged(Fleet changed) {
+		this.fleet = changed;
+		List<HolderCommand> commands = new ArrayList<>();
+		for (UpstreamEntry upstream : changed.view().upstreams().values()) {
+			if (holds(upstream)) {
+				this.lanes.open(upstream);
+			}
+		}
+		for (UpstreamLane lane : this.lanes.all()) {
+			commands.addAll(returnUnlessServed(lane));
+		}
+		this.lanes.closeIf((lane) -> !served(lane.upstream()));
+		return withDrained(commands);
+	}
+
+	private boolean served(UpstreamEntry upstream) {
+		return this.fleet.view().upstreams().containsKey(upstream.name()) && holds(upstream);
+	}
+
+	private List<HolderCommand> returnUnlessServed(UpstreamLane lane) {
+		if (served(lane.upstream()) && this.fleet.takesWork(lane.upstream())) {
+			return dispatch(lane);
+		}
+		return returnWaiting(lane, "Upstream '" + lane.upstream().name() + "' takes no new work here.");
+	}
+
+	private List<HolderCommand> returnWaiting(UpstreamLane lane, String detail) {
+		List<HolderCommand> commands = new ArrayList<>();
+		for (HeldWork held : lane.removeAllWaiting()) {
+			this.lanes.forget(held.work().attempt());
+			commands.add(new SendSignal(held.fromHost(), new WorkFailed(held.work().attempt(),
+					Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS))));
+		}
+		return commands;
+	}
+
+	private List<HolderCommand> shutdown() {
+		this.shuttingDown = true;
+		List<HolderCommand> commands = new ArrayList<>();
+		this.lanes.all().forEach((lane) -> commands.addAll(returnWaiting(lane, "The lease holder is shutting down.")));
+		commands.add(new PublishDigests(digests()));
+		return withDrained(commands);
+	}
+
+	private List<HolderCommand> withDrained(List<HolderCommand> commands) {
+		if (!this.shuttingDown || !this.lanes.empty()) {
+			return commands;
+		}
+		List<HolderCommand> all = new ArrayList<>(commands);
+		all.add(new HolderDrained());
+		return all;
+	}
+
+	private static Optional<Problem> notRun(ProblemKind kind, String detail) {
+		return Optional.of(Problem.notRun(kind, detail, RETRY_AFTER_MILLIS));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/holder/HolderDrained.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.holder;
+
+/**
+ * The daemon shuts down and no work is left.
+ */
+public record HolderDrained() implements HolderCommand {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/holder/HolderTick.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.holder;
+
+/**
+ * Time has passed.
+ */
+public record HolderTick() implements HolderEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/holder/PublishDigests.java
@@ -0,0 +1,13 @@
+package org.rattanhead.decision.holder;
+
+import java.util.List;
+
+import org.rattanhead.core.upstream.UpstreamDigest;
+
+/**
+ * Publish the state of the upstreams to all daemons.
+ *
+ * @param digests one for each upstream held
+ */
+public record PublishDigests(List<UpstreamDigest> digests) implements HolderCommand {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/membership/LinkDown.java
@@ -0,0 +1,9 @@
+package org.rattanhead.decision.membership;
+
+/**
+ * The link to a daemon is lost.
+ *
+ * @param host the daemon
+ */
+public record LinkDown(String host) implements MembershipEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/membership/MembershipTick.java
@@ -0,0 +1,7 @@
+package org.rattanhead.decision.membership;
+
+/**
+ * Time has passed.
+ */
+public record MembershipTick() implements MembershipEvent {
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/placement/PlacementPolicies.java
@@ -0,0 +1,65 @@
+package org.rattanhead.decision.placement;
+
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+
+/**
+ * The placement policies. All but {@link #leastWork} are baselines to compare against.
+ */
+public final class PlacementPolicies {
+
+	private static final int SAMPLES = 4;
+
+	private static final Comparator<Candidate> BY_WORK = Comparator.comparingLong(Candidate::outstandingTokens)
+		.thenComparingInt(Candidate::outstandingRequests);
+
+	private static final Comparator<Candidate> BY_REQUESTS = Comparator.comparingInt(Candidate::outstandingRequests);
+
+	private PlacementPolicies() {
+	}
+
+	/**
+	 * Takes the least outstanding work of a few upstreams chosen at random; all of them
+	 * if those few are unusable.
+	 * @return the policy
+	 */
+	public static PlacementPolicy leastWork() {
+		return (candidates, random) -> {
+			if (candidates.size() <= SAMPLES) {
+				return best(candidates, BY_WORK);
+			}
+			Optional<Candidate> sampled = sample(candidates, random);
+			return sampled.isPresent() ? sampled : best(candidates, BY_WORK);
+		};
+	}
+
+	/**
+	 * Takes the fewest outstanding requests of all upstreams.
+	 * @return the policy
+	 */
+	public static PlacementPolicy leastOutstanding() {
+		return (candidates, random) -> best(candidates, BY_REQUESTS);
+	}
+
+	/**
+	 * Takes the upstreams in turn.
+	 * @return the policy
+	 */
+	public static PlacementPolicy roundRobin() {
+		return new RoundRobin();
+	}
+
+	private static Optional<Candidate> sample(CandidateSource candidates, RandomGenerator random) {
+		return IntStream.range(0, SAMPLES)
+			.mapToObj((sample) -> candidates.get(random.nextInt(candidates.size())))
+			.filter(Candidate::usable)
+			.min(BY_WORK);
+	}
+
+	private static Optional<Candidate> best(CandidateSource candidates, Comparator<Candidate> order) {
+		return IntStream.range(0, candidates.size()).mapToObj(candidates::get).filter(Candidate::usable).min(order);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
@@ -0,0 +1,83 @@
+package org.rattanhead.http.internal;
+
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+import io.undertow.server.HttpServerExchange;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.request.RequestId;
+import org.rattanhead.decision.edge.CallerGone;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.http.AnswerWriter;
+import org.rattanhead.http.FrontEndObserver;
+import org.rattanhead.ring.EventSink;
+import org.rattanhead.ring.Urgency;
+
+/**
+ * The callers that wait for an answer.
+ */
+public final class CallerRegistry implements AnswerWriter {
+
+	private final ConcurrentMap<RequestId, CallerStream> streams = new ConcurrentHashMap<>();
+
+	private final EventSink<EdgeEvent> edge;
+
+	private final FrontEndObserver observer;
+
+	/**
+	 * Creates a registry.
+	 * @param edge hears of callers that are gone
+	 * @param observer hears when answers begin
+	 */
+	public CallerRegistry(EventSink<EdgeEvent> edge, FrontEndObserver observer) {
+		this.edge = edge;
+		this.observer = observer;
+	}
+
+	void register(RequestId id, HttpServerExchange exchange, boolean streamed) {
+		this.streams.put(id, new CallerStream(exchange, streamed, this.observer, () -> gone(id)));
+	}
+
+	@Override
+	public void start(RequestId request, String upstream, int status, String contentType) {
+		find(request).ifPresent((stream) -> stream.start(request, upstream, status, contentType));
+	}
+
+	@Override
+	public void write(RequestId request, Payload bytes) {
+		find(request).ifPresent((stream) -> stream.write(bytes));
+	}
+
+	@Override
+	public void end(RequestId request) {
+		remove(request).ifPresent(CallerStream::end);
+	}
+
+	@Override
+	public void refuse(RequestId request, Problem problem) {
+		remove(request).ifPresent((stream) -> stream.refuse(request, problem));
+	}
+
+	@Override
+	public void breakOff(RequestId request, Problem problem) {
+		remove(request).ifPresent((stream) -> stream.breakOff(problem));
+	}
+
+	private void gone(RequestId request) {
+		if (remove(request).isPresent()) {
+			this.edge.offer(new CallerGone(request), Urgency.CONTROL);
+		}
+	}
+
+	private Optional<CallerStream> find(RequestId request) {
+		return Optional.ofNullable(this.streams.get(request));
+	}
+
+	private Optional<CallerStream> remove(RequestId request) {
+		return Optional.ofNullable(this.streams.remove(request));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerStream.java
@@ -0,0 +1,89 @@
+package org.rattanhead.http.internal;
+
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.request.RequestId;
+import org.rattanhead.http.FrontEndObserver;
+import org.rattanhead.server.ResponseWriter;
+
+/**
+ * One caller that waits for an answer. Everything runs on the I/O thread of its
+ * connection.
+ */
+final class CallerStream {
+
+	private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+
+	private static final HttpString UPSTREAM = new HttpString("X-Upstream");
+
+	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private final HttpServerExchange exchange;
+
+	private final boolean streamed;
+
+	private final FrontEndObserver observer;
+
+	private final ResponseWriter writer;
+
+	private final long startNanos = System.nanoTime();
+
+	CallerStream(HttpServerExchange exchange, boolean streamed, FrontEndObserver observer, Runnable onGone) {
+		this.exchange = exchange;
+		this.streamed = streamed;
+		this.observer = observer;
+		this.writer = new ResponseWriter(exchange, onGone);
+		ConnectionWatch.of(exchange.getConnection()).current(onGone);
+	}
+
+	void start(RequestId request, String upstream, int status, String contentType) {
+		this.observer.onFirstBytes((System.nanoTime() - this.startNanos) / NANOS_PER_SECOND);
+		onIoThread(() -> {
+			this.exchange.setStatusCode(status);
+			this.exchange.getResponseHeaders().put(REQUEST_ID, request.value());
+			this.exchange.getResponseHeaders().put(UPSTREAM, upstream);
+			if (!contentType.isEmpty()) {
+				this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
+			}
+			if (this.streamed) {
+				this.exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
+			}
+		});
+	}
+
+	void write(Payload bytes) {
+		onIoThread(() -> this.writer.write(bytes));
+	}
+
+	void end() {
+		onIoThread(this.writer::end);
+	}
+
+	void refuse(RequestId request, Problem problem) {
+		onIoThread(() -> {
+			this.exchange.getResponseHeaders().put(REQUEST_ID, request.value());
+			ProblemDocuments.send(this.exchange, problem);
+		});
+	}
+
+	void breakOff(Problem problem) {
+		onIoThread(() -> {
+			if (this.streamed) {
+				this.writer
+					.write(Payload.of("event: error\ndata: " + ProblemDocuments.encode(problem).text() + "\n\n"));
+			}
+			this.writer.breakOff();
+		});
+	}
+
+	private void onIoThread(Runnable action) {
+		this.exchange.getIoThread().execute(action);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/PageHandlers.java
@@ -0,0 +1,71 @@
+package org.rattanhead.http.internal;
+
+import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+
+import org.rattanhead.core.Payload;
+
+/**
+ * Pages that only show something.
+ */
+public final class PageHandlers {
+
+	private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
+
+	private PageHandlers() {
+	}
+
+	/**
+	 * Shows text.
+	 * @param text the text
+	 * @return the handler
+	 */
+	public static HttpHandler text(Supplier<String> text) {
+		return page(PLAIN_TEXT, () -> Payload.of(text.get()));
+	}
+
+	/**
+	 * Shows JSON.
+	 * @param json the JSON text
+	 * @return the handler
+	 */
+	public static HttpHandler json(Supplier<Payload> json) {
+		return page("application/json", json);
+	}
+
+	/**
+	 * Shows metrics in Prometheus text format.
+	 * @param metrics the metrics
+	 * @return the handler
+	 */
+	public static HttpHandler metrics(Supplier<Payload> metrics) {
+		return page("text/plain; version=0.0.4; charset=utf-8", metrics);
+	}
+
+	/**
+	 * Shows whether the daemon takes new work.
+	 * @param ready tells it
+	 * @return the handler
+	 */
+	public static HttpHandler ready(BooleanSupplier ready) {
+		return (exchange) -> {
+			boolean now = ready.getAsBoolean();
+			exchange.setStatusCode(now ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, PLAIN_TEXT);
+			exchange.getResponseSender().send(now ? "ready\n" : "not ready: use another address\n");
+		};
+	}
+
+	private static HttpHandler page(String contentType, Supplier<Payload> content) {
+		return (exchange) -> {
+			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
+			exchange.getResponseSender().send(ByteBuffer.wrap(content.get().bytes()));
+		};
+	}
+
+}
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of the front end.
+ */
+package org.rattanhead.http.internal;
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/PeerListener.java
@@ -0,0 +1,61 @@
+package org.rattanhead.peer;
+
+import java.util.List;
+
+import org.rattanhead.core.upstream.UpstreamDigest;
+import org.rattanhead.core.work.WorkOrder;
+import org.rattanhead.core.work.WorkSignal;
+
+/**
+ * Hears what arrives on the links, on their I/O threads.
+ */
+public interface PeerListener {
+
+	/**
+	 * A link that this daemon dialled is up.
+	 * @param host the daemon at its other end
+	 */
+	void onLinkUp(String host);
+
+	/**
+	 * A link that this daemon dialled is lost.
+	 * @param host the daemon at its other end
+	 */
+	void onLinkDown(String host);
+
+	/**
+	 * A link that another daemon dialled is lost.
+	 * @param host the daemon at its other end
+	 */
+	void onEntryLost(String host);
+
+	/**
+	 * Another daemon shuts down.
+	 * @param host that daemon
+	 */
+	void onGoodbye(String host);
+
+	/**
+	 * An entry daemon sent an order.
+	 * @param host the entry daemon
+	 * @param order the order
+	 * @return false if there is no room
+	 */
+	boolean onOrder(String host, WorkOrder order);
+
+	/**
+	 * A lease holder sent a signal.
+	 * @param host the lease holder
+	 * @param signal the signal
+	 * @return false if there is no room
+	 */
+	boolean onSignal(String host, WorkSignal signal);
+
+	/**
+	 * A lease holder published digests.
+	 * @param host the lease holder
+	 * @param digests the digests
+	 */
+	void onDigests(String host, List<UpstreamDigest> digests);
+
+}
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/FrameHandler.java
@@ -0,0 +1,19 @@
+package org.rattanhead.peer.internal;
+
+import org.rattanhead.messages.PeerFrame;
+
+/**
+ * Handles the frames of one type.
+ */
+@FunctionalInterface
+interface FrameHandler {
+
+	/**
+	 * Handles a frame.
+	 * @param host the daemon that sent it
+	 * @param frame the frame
+	 * @return false if there is no room for it now
+	 */
+	boolean handle(String host, PeerFrame frame);
+
+}
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/LinkHandler.java
@@ -0,0 +1,173 @@
+package org.rattanhead.peer.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+import org.rattanhead.messages.Hello;
+import org.rattanhead.messages.PeerFrame;
+import org.rattanhead.messages.Ping;
+import org.rattanhead.messages.Pong;
+import org.rattanhead.peer.PeerListener;
+import org.rattanhead.peer.PeerSettings;
+
+/**
+ * Handles the frames of one link. Both ends ping; a link that stays silent is closed.
+ */
+public final class LinkHandler extends SimpleChannelInboundHandler<PeerFrame> {
+
+	private static final Logger LOGGER = LogManager.getLogger(LinkHandler.class);
+
+	private static final int PROTOCOL_VERSION = 1;
+
+	private static final long RETRY_MILLIS = 2;
+
+	private final PeerSettings settings;
+
+	private final LinkDirection direction;
+
+	private final LinkTable table;
+
+	private final PeerListener listener;
+
+	private final Map<PeerFrame.BodyCase, FrameHandler> handlers;
+
+	private final Deque<PeerFrame> undelivered = new ArrayDeque<>();
+
+	private String host = "";
+
+	private long lastFrameNanos;
+
+	private long pingSequence;
+
+	/**
+	 * Creates the handler of one link.
+	 * @param settings the settings
+	 * @param direction which end opened the link
+	 * @param table the open links of that direction
+	 * @param listener hears what arrives
+	 */
+	public LinkHandler(PeerSettings settings, LinkDirection direction, LinkTable table, PeerListener listener) {
+		this.settings = settings;
+		this.direction = direction;
+		this.table = table;
+		this.listener = listener;
+		this.handlers = FrameHandlers.of(listener);
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.lastFrameNanos = System.nanoTime();
+		context.writeAndFlush(PeerFrame.newBuilder()
+			.setHello(Hello.newBuilder().setProtocolVersion(PROTOCOL_VERSION).setHost(this.settings.self()))
+			.build());
+		context.executor()
+			.scheduleAtFixedRate(() -> ping(context), this.settings.pingMillis(), this.settings.pingMillis(),
+					TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+		this.lastFrameNanos = System.nanoTime();
+		switch (frame.getBodyCase()) {
+			case HELLO -> hello(context, frame.getHello());
+			case PING -> pong(context, frame.getPing());
+			case PONG -> LOGGER.trace("peer: {} answered ping {}", this.host, frame.getPong().getSequence());
+			default -> deliver(context, frame);
+		}
+	}
+
+	private void hello(ChannelHandlerContext context, Hello hello) {
+		if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
+			LOGGER.error("peer: {} speaks protocol version {}, not {}; run the same release on both", hello.getHost(),
+					hello.getProtocolVersion(), PROTOCOL_VERSION);
+			context.close();
+			return;
+		}
+		this.host = hello.getHost();
+		this.table.put(this.host, context.channel());
+		if (this.direction == LinkDirection.DIALLED) {
+			LOGGER.info("peer: the link to {} is up", this.host);
+			this.listener.onLinkUp(this.host);
+		}
+	}
+
+	private void deliver(ChannelHandlerContext context, PeerFrame frame) {
+		FrameHandler handler = this.handlers.get(frame.getBodyCase());
+		if (this.host.isEmpty() || handler == null) {
+			LOGGER.error("peer: a frame that this release does not know; run the same release on all daemons");
+			context.close();
+			return;
+		}
+		boolean delivered = this.undelivered.isEmpty() && handler.handle(this.host, frame);
+		if (!delivered) {
+			this.undelivered.add(frame);
+			pause(context);
+		}
+	}
+
+	private void pause(ChannelHandlerContext context) {
+		if (this.undelivered.size() == 1) {
+			context.channel().config().setAutoRead(false);
+			context.executor().schedule(() -> redeliver(context), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void redeliver(ChannelHandlerContext context) {
+		while (!this.undelivered.isEmpty()) {
+			PeerFrame frame = this.undelivered.peek();
+			if (!this.handlers.get(frame.getBodyCase()).handle(this.host, frame)) {
+				context.executor().schedule(() -> redeliver(context), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+				return;
+			}
+			this.undelivered.poll();
+		}
+		context.channel().config().setAutoRead(true);
+	}
+
+	private void pong(ChannelHandlerContext context, Ping ping) {
+		context
+			.writeAndFlush(PeerFrame.newBuilder().setPong(Pong.newBuilder().setSequence(ping.getSequence())).build());
+	}
+
+	private void ping(ChannelHandlerContext context) {
+		long silentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.lastFrameNanos);
+		if (silentMillis > this.settings.silenceMillis()) {
+			LOGGER.warn("peer: the link to {} has been silent for {} ms; closing it", this.host, silentMillis);
+			context.close();
+			return;
+		}
+		context
+			.writeAndFlush(PeerFrame.newBuilder().setPing(Ping.newBuilder().setSequence(this.pingSequence++)).build());
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		if (this.table.remove(this.host, context.channel())) {
+			LOGGER.info("peer: the {} link of {} is down", this.direction, this.host);
+			down();
+		}
+	}
+
+	private void down() {
+		if (this.direction == LinkDirection.DIALLED) {
+			this.listener.onLinkDown(this.host);
+		}
+		else {
+			this.listener.onEntryLost(this.host);
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		LOGGER.debug("peer: the link of {} failed: {}", this.host, cause.toString());
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/LinkTable.java
@@ -0,0 +1,62 @@
+package org.rattanhead.peer.internal;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.channel.Channel;
+
+import org.rattanhead.messages.PeerFrame;
+
+/**
+ * The open links of one direction by the name of the other daemon.
+ */
+public final class LinkTable {
+
+	private final Map<String, Channel> channels = new ConcurrentHashMap<>();
+
+	void put(String host, Channel channel) {
+		Channel before = this.channels.put(host, channel);
+		if (before != null && before != channel) {
+			before.close();
+		}
+	}
+
+	boolean remove(String host, Channel channel) {
+		return this.channels.remove(host, channel);
+	}
+
+	/**
+	 * Writes a frame.
+	 * @param host the other daemon
+	 * @param frame the frame
+	 * @return false if there is no link with room
+	 */
+	public boolean write(String host, PeerFrame frame) {
+		Channel channel = this.channels.get(host);
+		if (channel == null || !channel.isWritable()) {
+			return false;
+		}
+		channel.writeAndFlush(frame, channel.voidPromise());
+		return true;
+	}
+
+	/**
+	 * Writes a frame on every link that has room.
+	 * @param frame the frame
+	 */
+	public void writeAll(PeerFrame frame) {
+		this.channels.keySet().forEach((host) -> write(host, frame));
+	}
+
+	/**
+	 * Closes a link.
+	 * @param host the other daemon
+	 */
+	public void close(String host) {
+		Channel channel = this.channels.get(host);
+		if (channel != null) {
+			channel.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of the links: framing, encoding, pings.
+ */
+package org.rattanhead.peer.internal;
--- /dev/null
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Encodings of the platform's protocols.
+ */
+package org.rattanhead.platform.internal;
--- /dev/null
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
@@ -0,0 +1,120 @@
+package org.rattanhead.ring;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+import com.lmax.disruptor.BatchEventProcessor;
+import com.lmax.disruptor.BatchEventProcessorBuilder;
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.RingBuffer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A thread with a bounded ring before it. Any thread may offer events; the thread of the
+ * duty handles them in order. It sleeps while the ring is empty. A full ring refuses
+ * events and never makes the offering thread wait.
+ *
+ * @param <E> the type of the events
+ */
+public final class Duty<E> implements EventSink<E>, AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(Duty.class);
+
+	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
+
+	private final String name;
+
+	private final RingBuffer<Slot<E>> ring;
+
+	private final BatchEventProcessor<Slot<E>> processor;
+
+	private final Thread thread;
+
+	private final AtomicLong refusedCount = new AtomicLong();
+
+	/**
+	 * Starts a duty.
+	 * @param name the name of its thread
+	 * @param capacity the slots of its ring, a power of two
+	 * @param clock the monotonic clock, in nanoseconds
+	 * @param handler handles the events
+	 */
+	public Duty(String name, int capacity, LongSupplier clock, DutyHandler<E> handler) {
+		this.name = name;
+		this.ring = RingBuffer.createMultiProducer(Slot::new, capacity, new BlockingWaitStrategy());
+		this.processor = new BatchEventProcessorBuilder().build(this.ring, this.ring.newBarrier(),
+				(slot, sequence, endOfBatch) -> run(slot, clock, handler));
+		this.ring.addGatingSequences(this.processor.getSequence());
+		this.thread = new Thread(this.processor, name);
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	@Override
+	public boolean offer(E event, Urgency urgency) {
+		if (this.ring.remainingCapacity() <= urgency.reservedSlots(this.ring.getBufferSize())) {
+			return refuse();
+		}
+		return this.ring.tryPublishEvent((slot, sequence) -> slot.set(event)) || refuse();
+	}
+
+	/**
+	 * Returns the events that wait.
+	 * @return the number of events
+	 */
+	public long backlog() {
+		return this.ring.getBufferSize() - this.ring.remainingCapacity();
+	}
+
+	/**
+	 * Returns the events refused since the start because the ring was full.
+	 * @return the number of events
+	 */
+	public long refused() {
+		return this.refusedCount.get();
+	}
+
+	/**
+	 * Returns the name of the duty.
+	 * @return the name
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Handles the events that wait, then ends the thread.
+	 */
+	@Override
+	public void close() {
+		if (!this.ring.tryPublishEvent((slot, sequence) -> slot.stop())) {
+			this.processor.halt();
+		}
+		try {
+			this.thread.join(CLOSE_TIMEOUT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private boolean refuse() {
+		this.refusedCount.incrementAndGet();
+		return false;
+	}
+
+	private void run(Slot<E> slot, LongSupplier clock, DutyHandler<E> handler) {
+		if (slot.stopped()) {
+			this.processor.halt();
+			return;
+		}
+		try {
+			handler.handle(slot.take(), clock.getAsLong());
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("ring: duty {} failed on one event and goes on", this.name, ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-settings/src/main/java/org/rattanhead/settings/SectionReader.java
@@ -0,0 +1,230 @@
+package org.rattanhead.settings;
+
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import org.rattanhead.core.host.HostAddress;
+
+/**
+ * Reads the values of one section and reports every fault to a consumer instead of
+ * stopping at the first.
+ */
+public final class SectionReader {
+
+	private static final Pattern DURATION = Pattern.compile("(\\d{1,12})(ms|s|m|h)");
+
+	private static final Map<String, Long> UNIT_MILLIS = Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h", 3_600_000L);
+
+	private final String file;
+
+	private final IniSection section;
+
+	private final Consumer<SettingFault> faults;
+
+	private final Set<String> known = new HashSet<>();
+
+	/**
+	 * Starts reading a section.
+	 * @param file the name of the file
+	 * @param section the section
+	 * @param faults receives each fault
+	 */
+	public SectionReader(String file, IniSection section, Consumer<SettingFault> faults) {
+		this.file = file;
+		this.section = section;
+		this.faults = faults;
+	}
+
+	/**
+	 * Reads text that must be present.
+	 * @param key the key
+	 * @return the value, empty text if absent
+	 */
+	public String text(String key) {
+		String value = raw(key);
+		if (value == null || value.isBlank()) {
+			report(key, "it is missing", "add '" + key + " = ...' to the section");
+			return "";
+		}
+		return value;
+	}
+
+	/**
+	 * Reads text that may be absent.
+	 * @param key the key
+	 * @param absent the value if absent
+	 * @return the value
+	 */
+	public String text(String key, String absent) {
+		String value = raw(key);
+		return (value != null) ? value : absent;
+	}
+
+	/**
+	 * Reads a whole number that must be present.
+	 * @param key the key
+	 * @param min the least value
+	 * @param max the greatest value
+	 * @return the value, the least value if faulty
+	 */
+	public int integer(String key, int min, int max) {
+		String value = text(key);
+		return value.isEmpty() ? min : toInteger(key, value, min, max);
+	}
+
+	/**
+	 * Reads a whole number that may be absent.
+	 * @param key the key
+	 * @param min the least value
+	 * @param max the greatest value
+	 * @param absent the value if absent
+	 * @return the value, the least value if faulty
+	 */
+	public int integer(String key, int min, int max, int absent) {
+		String value = raw(key);
+		return (value != null) ? toInteger(key, value, min, max) : absent;
+	}
+
+	/**
+	 * Reads a duration that must be present.
+	 * @param key the key
+	 * @return milliseconds, 1 if faulty
+	 */
+	public long durationMillis(String key) {
+		String value = text(key);
+		return value.isEmpty() ? 1 : toMillis(key, value);
+	}
+
+	/**
+	 * Reads a duration that may be absent.
+	 * @param key the key
+	 * @param absentMillis milliseconds if absent
+	 * @return milliseconds, 1 if faulty
+	 */
+	public long durationMillis(String key, long absentMillis) {
+		String value = raw(key);
+		return (value != null) ? toMillis(key, value) : absentMillis;
+	}
+
+	/**
+	 * Reads an address that must be present.
+	 * @param key the key
+	 * @return the address and port, as written
+	 */
+	public String address(String key) {
+		String value = text(key);
+		if (!value.isEmpty() && !HostAddress.valid(value)) {
+			report(key, "'" + value + "' is not an address", "write an IP address and a port, such as 127.0.0.1:8080");
+		}
+		return value;
+	}
+
+	/**
+	 * Reads true or false.
+	 * @param key the key
+	 * @param absent the value if absent
+	 * @return the value
+	 */
+	public boolean flag(String key, boolean absent) {
+		String value = raw(key);
+		if (value == null) {
+			return absent;
+		}
+		if (!"true".equals(value) && !"false".equals(value)) {
+			report(key, "'" + value + "' is neither true nor false", "write true or false");
+		}
+		return Boolean.parseBoolean(value);
+	}
+
+	/**
+	 * Reads a list of words separated by commas.
+	 * @param key the key
+	 * @return the words, empty if absent
+	 */
+	public List<String> list(String key) {
+		String value = raw(key);
+		return (value != null)
+				? Arrays.stream(value.split(",")).map(String::trim).filter((word) -> !word.isEmpty()).toList()
+				: List.of();
+	}
+
+	/**
+	 * Reads one of the values of an enum, written in lower case with hyphens.
+	 * @param <T> the enum
+	 * @param key the key
+	 * @param type the enum
+	 * @param absent the value if absent
+	 * @return the value
+	 */
+	public <T extends Enum<T>> T choice(String key, Class<T> type, T absent) {
+		String value = raw(key);
+		if (value == null) {
+			return absent;
+		}
+		for (T constant : type.getEnumConstants()) {
+			if (label(constant).equals(value)) {
+				return constant;
+			}
+		}
+		report(key, "'" + value + "' is not a choice", "write one of "
+				+ Arrays.stream(type.getEnumConstants()).map(SectionReader::label).collect(Collectors.joining(", ")));
+		return absent;
+	}
+
+	/**
+	 * Reports every key that was not read.
+	 */
+	public void reportUnknownKeys() {
+		this.section.values()
+			.keySet()
+			.stream()
+			.filter((key) -> !this.known.contains(key))
+			.forEach((key) -> report(key, "there is no such key",
+					"remove it, or use one of " + this.known.stream().sorted().collect(Collectors.joining(", "))));
+	}
+
+	private String raw(String key) {
+		this.known.add(key);
+		return this.section.values().get(key);
+	}
+
+	private int toInteger(String key, String value, int min, int max) {
+		try {
+			int number = Integer.parseInt(value);
+			if (number >= min && number <= max) {
+				return number;
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Reported below together with numbers out of range.
+		}
+		report(key, "'" + value + "' is not a whole number from " + min + " to " + max, "write one in that range");
+		return min;
+	}
+
+	private long toMillis(String key, String value) {
+		Matcher matcher = DURATION.matcher(value);
+		if (!matcher.matches() || Long.parseLong(matcher.group(1)) == 0) {
+			report(key, "'" + value + "' is not a duration", "write a number above 0 with a unit: ms, s, m or h");
+			return 1;
+		}
+		return Long.parseLong(matcher.group(1)) * UNIT_MILLIS.get(matcher.group(2));
+	}
+
+	private static String label(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+	private void report(String key, String fault, String remedy) {
+		this.faults.accept(new SettingFault(this.file, this.section.name(), key, fault, remedy));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/AnswerSink.java
@@ -0,0 +1,100 @@
+package org.rattanhead.standin.engine;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.server.ResponseWriter;
+import org.rattanhead.standin.AnswerText;
+import org.rattanhead.standin.http.Replies;
+
+/**
+ * Writes one answer of an engine, token by token as server-sent events or at once as
+ * JSON.
+ */
+final class AnswerSink implements SequenceSink {
+
+	private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+
+	private static final String STREAM_FORMAT = "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\","
+			+ "\"created\":0,\"model\":\"%s\",\"choices\":[{\"index\":0,\"delta\":%s,\"finish_reason\":%s}]}\n\n";
+
+	private static final String WHOLE_FORMAT = "{\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion\",\"created\":0,"
+			+ "\"model\":\"%s\",\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":\"%s\"},"
+			+ "\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}";
+
+	private final HttpServerExchange exchange;
+
+	private final EngineRequest request;
+
+	private final String model;
+
+	private final ResponseWriter writer;
+
+	private final StringBuilder whole = new StringBuilder();
+
+	private boolean started;
+
+	AnswerSink(HttpServerExchange exchange, EngineRequest request, String model, Runnable onGone) {
+		this.exchange = exchange;
+		this.request = request;
+		this.model = model;
+		this.writer = new ResponseWriter(exchange, onGone);
+	}
+
+	@Override
+	public void onToken(String answerId, int index) {
+		String token = AnswerText.token(this.request.promptDigest(), index);
+		if (this.request.streamed()) {
+			String role = (index == 0) ? "\"role\":\"assistant\"," : "";
+			write(answerId, chunk(answerId, "{" + role + "\"content\":\"" + token + "\"}", "null"));
+		}
+		else {
+			this.whole.append(token);
+		}
+	}
+
+	@Override
+	public void onEnd(String answerId) {
+		if (this.request.streamed()) {
+			write(answerId, chunk(answerId, "{}", "\"stop\"") + "data: [DONE]\n\n");
+		}
+		else {
+			write(answerId, String.format(WHOLE_FORMAT, answerId, this.model, this.whole, this.request.promptTokens(),
+					this.request.outputTokens(), this.request.memoryTokens()));
+		}
+		onIoThread(this.writer::end);
+	}
+
+	@Override
+	public void onReset() {
+		onIoThread(() -> Replies.close(this.exchange));
+	}
+
+	private void write(String answerId, String text) {
+		boolean first = !this.started;
+		this.started = true;
+		onIoThread(() -> {
+			if (first) {
+				start(answerId);
+			}
+			this.writer.write(Payload.of(text));
+		});
+	}
+
+	private void start(String answerId) {
+		this.exchange.getResponseHeaders().put(REQUEST_ID, answerId);
+		this.exchange.getResponseHeaders()
+			.put(Headers.CONTENT_TYPE, this.request.streamed() ? "text/event-stream" : "application/json");
+	}
+
+	private String chunk(String answerId, String delta, String finishReason) {
+		return String.format(STREAM_FORMAT, answerId, this.model, delta, finishReason);
+	}
+
+	private void onIoThread(Runnable action) {
+		this.exchange.getIoThread().execute(action);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineEvent.java
@@ -0,0 +1,8 @@
+package org.rattanhead.standin.engine;
+
+/**
+ * What the engine is asked to do.
+ */
+sealed interface EngineEvent permits SequenceArrived, SequenceCancelled, EngineStep, FaultSet, EngineAsked {
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineStandin.java
@@ -0,0 +1,118 @@
+package org.rattanhead.standin.engine;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.ring.Duty;
+import org.rattanhead.ring.Ticker;
+import org.rattanhead.ring.Urgency;
+import org.rattanhead.standin.http.Reply;
+import org.rattanhead.standin.http.StandinServer;
+
+/**
+ * A stand-in of a model engine with the OpenAI interface.
+ */
+public final class EngineStandin implements AutoCloseable {
+
+	private static final int RING_SLOTS = 8_192;
+
+	private static final long STEP_MILLIS = 2;
+
+	private final EngineModel model;
+
+	private final Duty<EngineEvent> duty;
+
+	private final Ticker ticker;
+
+	private final StandinServer server;
+
+	/**
+	 * Starts an engine in cold start.
+	 * @param address where it listens; port 0 for any free port
+	 * @param profile what it can do
+	 */
+	public EngineStandin(InetSocketAddress address, EngineProfile profile) {
+		this.model = new EngineModel(profile, System.nanoTime());
+		HandlerTable<EngineEvent, Boolean> handlers = new HandlerTable<EngineEvent, Boolean>()
+			.on(SequenceArrived.class, (event, now) -> {
+				this.model.arrive(event.request(), event.sink(), now);
+				return true;
+			})
+			.on(SequenceCancelled.class, (event, now) -> {
+				this.model.cancel(event.id());
+				return true;
+			})
+			.on(EngineStep.class, (event, now) -> {
+				this.model.step(now);
+				return true;
+			})
+			.on(FaultSet.class, (event, now) -> {
+				this.model.fault(event.body(), now);
+				return true;
+			})
+			.on(EngineAsked.class, this::answer)
+			.covering(EngineEvent.class);
+		this.duty = new Duty<>("engine-" + profile.name(), RING_SLOTS, System::nanoTime, handlers::handle);
+		this.ticker = new Ticker("engine-ticker-" + profile.name());
+		this.ticker.every(STEP_MILLIS, () -> this.duty.offer(new EngineStep(), Urgency.STREAM));
+		this.server = new StandinServer(address, new EngineRoutes(profile, this.duty));
+	}
+
+	/**
+	 * Returns where the engine listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Sets a fault.
+	 * @param fault the fault
+	 * @param amount how many answers it hits, or how many milliseconds it lasts
+	 */
+	public void fault(EngineFault fault, long amount) {
+		this.duty.offer(new FaultSet(new FaultBody(fault, amount)), Urgency.CONTROL);
+	}
+
+	/**
+	 * Reads what the engine counted.
+	 * @return the counts
+	 */
+	public EngineCounts counts() {
+		CompletableFuture<EngineCounts> counts = new CompletableFuture<>();
+		this.duty.offer(new EngineAsked((state, now) -> {
+			counts.complete(state.counts());
+			return Reply.none();
+		}, new CompletableFuture<>(), false), Urgency.CONTROL);
+		return counts.join();
+	}
+
+	/**
+	 * Reads what memory the engine holds.
+	 * @return the memory by request
+	 */
+	public List<HeldBody> heldMemory() {
+		CompletableFuture<List<HeldBody>> held = new CompletableFuture<>();
+		this.duty.offer(new EngineAsked((state, now) -> {
+			held.complete(state.heldMemory());
+			return Reply.none();
+		}, new CompletableFuture<>(), false), Urgency.CONTROL);
+		return held.join();
+	}
+
+	private boolean answer(EngineAsked event, long nowNanos) {
+		boolean heldBack = event.silenced() && this.model.silent(nowNanos);
+		return !heldBack && event.reply().complete(event.question().apply(this.model, nowNanos));
+	}
+
+	@Override
+	public void close() {
+		this.ticker.close();
+		this.server.close();
+		this.duty.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineStep.java
@@ -0,0 +1,7 @@
+package org.rattanhead.standin.engine;
+
+/**
+ * Time has passed.
+ */
+record EngineStep() implements EngineEvent {
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of a model engine.
+ */
+package org.rattanhead.standin.engine;
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/host/HostListStandin.java
@@ -0,0 +1,64 @@
+package org.rattanhead.standin.host;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+import org.rattanhead.core.host.Host;
+import org.rattanhead.core.host.HostList;
+import org.rattanhead.ring.Ticker;
+import org.rattanhead.standin.http.Replies;
+import org.rattanhead.standin.http.Reply;
+import org.rattanhead.standin.http.StandinServer;
+
+/**
+ * A stand-in of the platform's host list. Changes show after a lag.
+ */
+public final class HostListStandin implements AutoCloseable {
+
+	private final Ticker ticker = new Ticker("host-standin-ticker");
+
+	private final long lagMillis;
+
+	private final StandinServer server;
+
+	private volatile HostList visible = HostList.EMPTY;
+
+	/**
+	 * Starts the service.
+	 * @param address where it listens; port 0 for any free port
+	 * @param lagMillis how long a change takes to show, in milliseconds
+	 */
+	public HostListStandin(InetSocketAddress address, long lagMillis) {
+		this.lagMillis = lagMillis;
+		this.server = new StandinServer(address, (exchange) -> Replies.send(exchange, Reply.ok(this.visible)));
+	}
+
+	/**
+	 * Returns where the service listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Replaces the list.
+	 * @param hosts the hosts
+	 */
+	public void set(List<Host> hosts) {
+		HostList next = new HostList(hosts);
+		if (this.lagMillis == 0) {
+			this.visible = next;
+		}
+		else {
+			this.ticker.after(this.lagMillis, () -> this.visible = next);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.ticker.close();
+		this.server.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/http/Replies.java
@@ -0,0 +1,68 @@
+package org.rattanhead.standin.http;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import org.xnio.IoUtils;
+
+import org.rattanhead.core.Payload;
+
+/**
+ * Sends the replies of stand-ins.
+ */
+public final class Replies {
+
+	/** The JSON mapper of the stand-ins. */
+	public static final JsonMapper MAPPER = new JsonMapper();
+
+	private Replies() {
+	}
+
+	/**
+	 * Receives a whole body.
+	 * @param exchange the exchange
+	 * @param onBody receives the body
+	 */
+	public static void withBody(HttpServerExchange exchange, Consumer<Payload> onBody) {
+		exchange.getRequestReceiver().receiveFullBytes((same, bytes) -> onBody.accept(new Payload(bytes)));
+	}
+
+	/**
+	 * Sends a reply once it is known.
+	 * @param exchange the exchange
+	 * @param reply the reply to come
+	 */
+	public static void later(HttpServerExchange exchange, CompletableFuture<Reply> reply) {
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> reply
+			.whenComplete((result, failure) -> exchange.getIoThread().execute(() -> send(exchange, result))));
+	}
+
+	/**
+	 * Sends a reply.
+	 * @param exchange the exchange
+	 * @param reply the reply
+	 */
+	public static void send(HttpServerExchange exchange, Reply reply) {
+		if (reply == null || reply.status() == Reply.NO_ANSWER) {
+			close(exchange);
+			return;
+		}
+		exchange.setStatusCode(reply.status());
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseSender().send(ByteBuffer.wrap(reply.json().bytes()));
+	}
+
+	/**
+	 * Closes the connection without a reply.
+	 * @param exchange the exchange
+	 */
+	public static void close(HttpServerExchange exchange) {
+		IoUtils.safeClose(exchange.getConnection());
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/log/AppendAsked.java
@@ -0,0 +1,16 @@
+package org.rattanhead.standin.log;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.standin.http.Reply;
+
+/**
+ * Append a record.
+ *
+ * @param stream the stream
+ * @param payload the record
+ * @param reply completed with the reply
+ */
+record AppendAsked(String stream, Payload payload, CompletableFuture<Reply> reply) implements LogEvent {
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/log/LogEvent.java
@@ -0,0 +1,8 @@
+package org.rattanhead.standin.log;
+
+/**
+ * What the log service is asked to do.
+ */
+sealed interface LogEvent permits AppendAsked, ReadAsked, LogFaultsSet, LogTick {
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/log/LogTick.java
@@ -0,0 +1,7 @@
+package org.rattanhead.standin.log;
+
+/**
+ * Time has passed.
+ */
+record LogTick() implements LogEvent {
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/service/ServiceStandin.java
@@ -0,0 +1,78 @@
+package org.rattanhead.standin.service;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.undertow.server.HttpServerExchange;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.standin.http.Replies;
+import org.rattanhead.standin.http.Reply;
+import org.rattanhead.standin.http.StandinServer;
+
+/**
+ * A stand-in of a plain service that counts how often each idempotency key ran. It does
+ * not deduplicate.
+ */
+public final class ServiceStandin implements AutoCloseable {
+
+	private static final String KEY_HEADER = "Idempotency-Key";
+
+	private final ConcurrentMap<String, Integer> runs = new ConcurrentHashMap<>();
+
+	private final AtomicBoolean loseNextAnswer = new AtomicBoolean();
+
+	private final StandinServer server;
+
+	/**
+	 * Starts the service.
+	 * @param address where it listens; port 0 for any free port
+	 */
+	public ServiceStandin(InetSocketAddress address) {
+		this.server = new StandinServer(address,
+				(exchange) -> Replies.withBody(exchange, (body) -> handle(exchange, body)));
+	}
+
+	/**
+	 * Returns where the service listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Returns how often a key ran.
+	 * @param key the idempotency key
+	 * @return the number of runs
+	 */
+	public int runs(String key) {
+		return this.runs.getOrDefault(key, 0);
+	}
+
+	/**
+	 * Lets the next run take effect and then closes the connection without an answer.
+	 */
+	public void loseNextAnswer() {
+		this.loseNextAnswer.set(true);
+	}
+
+	private void handle(HttpServerExchange exchange, Payload body) {
+		String key = exchange.getRequestHeaders().getFirst(KEY_HEADER);
+		int run = (key != null) ? this.runs.merge(key, 1, Integer::sum) : 0;
+		if (this.loseNextAnswer.compareAndSet(true, false)) {
+			Replies.close(exchange);
+			return;
+		}
+		Replies.send(exchange,
+				Reply.ok(new ServiceAnswer(exchange.getRequestPath(), (key != null) ? key : "", run, body.text())));
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of a plain service.
+ */
+package org.rattanhead.standin.service;
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/StartCall.java
@@ -0,0 +1,11 @@
+package org.rattanhead.upstream;
+
+import org.rattanhead.decision.holder.CallUpstream;
+
+/**
+ * Start a call.
+ *
+ * @param command the call
+ */
+record StartCall(CallUpstream command) implements UpstreamTask {
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/StopCall.java
@@ -0,0 +1,11 @@
+package org.rattanhead.upstream;
+
+import org.rattanhead.decision.holder.AbortCall;
+
+/**
+ * Cancel a call.
+ *
+ * @param command the call
+ */
+record StopCall(AbortCall command) implements UpstreamTask {
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/UpstreamDuty.java
@@ -0,0 +1,155 @@
+package org.rattanhead.upstream;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.rattanhead.client.HttpCall;
+import org.rattanhead.client.HttpCaller;
+import org.rattanhead.client.OngoingCall;
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.catalogue.UpstreamEntry;
+import org.rattanhead.core.host.HostAddress;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.core.request.Work;
+import org.rattanhead.core.work.WorkFailed;
+import org.rattanhead.decision.holder.AbortCall;
+import org.rattanhead.decision.holder.CallUpstream;
+import org.rattanhead.decision.holder.HolderEvent;
+import org.rattanhead.decision.holder.LoadMissing;
+import org.rattanhead.decision.holder.LoadReported;
+import org.rattanhead.decision.holder.PollLoad;
+import org.rattanhead.decision.holder.UpstreamSignal;
+import org.rattanhead.ring.Duty;
+import org.rattanhead.ring.EventSink;
+import org.rattanhead.ring.Urgency;
+import org.rattanhead.upstream.internal.AnswerObserver;
+import org.rattanhead.upstream.internal.CallHeaders;
+import org.rattanhead.upstream.internal.LoadJson;
+
+/**
+ * The duty that calls upstreams on behalf of the lease holder. Answers go to the ring of
+ * the lease holder.
+ */
+public final class UpstreamDuty implements AutoCloseable {
+
+	private static final int RING_SLOTS = 16_384;
+
+	private static final long LOAD_TIMEOUT_MILLIS = 1_000;
+
+	private static final int OK = 200;
+
+	private final HttpCaller caller;
+
+	private final EventSink<HolderEvent> holder;
+
+	private final UpstreamObserver observer;
+
+	private final Map<AttemptId, OngoingCall> calls = new HashMap<>();
+
+	private final Duty<UpstreamTask> duty;
+
+	/**
+	 * Starts the duty.
+	 * @param caller makes the calls
+	 * @param holder the ring of the lease holder
+	 * @param observer counts answers that are dropped
+	 */
+	public UpstreamDuty(HttpCaller caller, EventSink<HolderEvent> holder, UpstreamObserver observer) {
+		this.caller = caller;
+		this.holder = holder;
+		this.observer = observer;
+		HandlerTable<UpstreamTask, Boolean> handlers = new HandlerTable<UpstreamTask, Boolean>()
+			.on(StartCall.class, (task, now) -> start(task.command(), now))
+			.on(StopCall.class, (task, now) -> stop(task.command()))
+			.on(ForgetCall.class, (task, now) -> forget(task.attempt()))
+			.on(ReadLoad.class, (task, now) -> readLoad(task.command()))
+			.covering(UpstreamTask.class);
+		this.duty = new Duty<>("upstream", RING_SLOTS, System::nanoTime, handlers::handle);
+	}
+
+	/**
+	 * Calls an upstream. If the ring is full, the lease holder hears that the work was
+	 * not run.
+	 * @param command the call
+	 */
+	public void call(CallUpstream command) {
+		if (!this.duty.offer(new StartCall(command), Urgency.NEW_WORK)) {
+			Problem problem = Problem.notRun(ProblemKind.OVERLOADED, "The daemon is too busy to call the upstream.");
+			this.holder.offer(new UpstreamSignal(command.upstream().name(),
+					new WorkFailed(command.work().attempt(), problem), false), Urgency.CONTROL);
+		}
+	}
+
+	/**
+	 * Cancels a call.
+	 * @param command the call
+	 */
+	public void abort(AbortCall command) {
+		this.duty.offer(new StopCall(command), Urgency.CONTROL);
+	}
+
+	/**
+	 * Asks an upstream for its load.
+	 * @param command the upstream
+	 */
+	public void poll(PollLoad command) {
+		this.duty.offer(new ReadLoad(command), Urgency.STREAM);
+	}
+
+	/**
+	 * Returns the duty, for its metrics.
+	 * @return the duty
+	 */
+	public Duty<?> duty() {
+		return this.duty;
+	}
+
+	private boolean start(CallUpstream command, long nowNanos) {
+		Work work = command.work();
+		long timeoutMillis = TimeUnit.NANOSECONDS.toMillis(work.deadlineNanos() - nowNanos);
+		HttpCall call = new HttpCall(HostAddress.parse(command.upstream().address()), work.call().method(),
+				work.call().path(), CallHeaders.of(work), work.call().body(), Math.max(1, timeoutMillis));
+		Runnable onOver = () -> this.duty.offer(new ForgetCall(work.attempt()), Urgency.CONTROL);
+		AnswerObserver answer = new AnswerObserver(command.upstream(), work, this.holder, this.observer, onOver);
+		this.calls.put(work.attempt(), this.caller.start(call, answer));
+		return true;
+	}
+
+	private boolean stop(AbortCall command) {
+		boolean found = forget(command.attempt());
+		if (command.upstream().engine()) {
+			this.caller.call(new HttpCall(HostAddress.parse(command.upstream().address()), "POST",
+					"/requests/" + command.attempt() + "/cancel", List.of(), Payload.EMPTY, LOAD_TIMEOUT_MILLIS));
+		}
+		return found;
+	}
+
+	private boolean forget(AttemptId attempt) {
+		OngoingCall call = this.calls.remove(attempt);
+		if (call != null) {
+			call.abort();
+		}
+		return call != null;
+	}
+
+	private boolean readLoad(PollLoad command) {
+		UpstreamEntry upstream = command.upstream();
+		this.caller.call(HttpCall.get(HostAddress.parse(upstream.address()), "/load", LOAD_TIMEOUT_MILLIS))
+			.thenApply((reply) -> (reply.status() == OK) ? LoadJson.decode(reply.body()) : null)
+			.whenComplete((load, failure) -> this.holder.offer(
+					(load != null) ? new LoadReported(upstream.name(), load) : new LoadMissing(upstream.name()),
+					Urgency.CONTROL));
+		return true;
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/AnswerFault.java
@@ -0,0 +1,26 @@
+package org.rattanhead.upstream.internal;
+
+/**
+ * An answer is broken off, or belongs to another attempt.
+ */
+final class AnswerFault extends Exception {
+
+	private static final long serialVersionUID = 1L;
+
+	private final boolean crossed;
+
+	AnswerFault(String message, boolean crossed) {
+		super(message);
+		this.crossed = crossed;
+	}
+
+	AnswerFault(String message, Throwable cause) {
+		super(message, cause);
+		this.crossed = false;
+	}
+
+	boolean crossed() {
+		return this.crossed;
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/AnswerIds.java
@@ -0,0 +1,48 @@
+package org.rattanhead.upstream.internal;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.request.AttemptId;
+
+/**
+ * Checks that the id of an answer is that of its attempt. Engines form it from the
+ * request id they were sent.
+ */
+final class AnswerIds {
+
+	private static final JsonFactory JSON = new JsonFactory();
+
+	private AnswerIds() {
+	}
+
+	static void check(Payload json, AttemptId attempt) throws AnswerFault {
+		String id = id(json);
+		if (!id.endsWith("-" + attempt)) {
+			throw new AnswerFault("the answer has id '" + id + "', which is not that of attempt " + attempt, true);
+		}
+	}
+
+	private static String id(Payload json) throws AnswerFault {
+		try (JsonParser parser = JSON.createParser(json.bytes())) {
+			parser.nextToken();
+			while (parser.nextToken() == JsonToken.FIELD_NAME) {
+				boolean id = "id".equals(parser.currentName());
+				parser.nextToken();
+				if (id) {
+					return parser.getText();
+				}
+				parser.skipChildren();
+			}
+		}
+		catch (IOException ex) {
+			throw new AnswerFault("the answer is not JSON", ex);
+		}
+		throw new AnswerFault("the answer has no id", false);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/AnswerReader.java
@@ -0,0 +1,28 @@
+package org.rattanhead.upstream.internal;
+
+import java.util.List;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.work.WorkSignal;
+
+/**
+ * Turns the bytes of an answer into signals. Confined to the I/O thread of its call.
+ */
+interface AnswerReader {
+
+	/**
+	 * Reads a part of the answer.
+	 * @param bytes the part
+	 * @return the signals it completes
+	 * @throws AnswerFault if the answer is not the one asked for
+	 */
+	List<WorkSignal> read(Payload bytes) throws AnswerFault;
+
+	/**
+	 * Reads the end of the answer.
+	 * @return the last signals
+	 * @throws AnswerFault if the answer is not whole
+	 */
+	List<WorkSignal> end() throws AnswerFault;
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/AnswerReaders.java
@@ -0,0 +1,55 @@
+package org.rattanhead.upstream.internal;
+
+import org.rattanhead.client.HttpHead;
+import org.rattanhead.core.catalogue.UpstreamEntry;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.request.Work;
+import org.rattanhead.core.work.WorkStarted;
+
+/**
+ * Chooses how to read an answer from its head.
+ */
+final class AnswerReaders {
+
+	private static final int OK = 200;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private AnswerReaders() {
+	}
+
+	static AnswerReader of(UpstreamEntry upstream, Work work, HttpHead head) throws AnswerFault {
+		checkEcho(upstream, work, head);
+		String contentType = head.field("Content-Type");
+		WorkStarted start = new WorkStarted(work.attempt(), upstream.name(), head.status(), contentType);
+		if (!upstream.engine()) {
+			return new WholeReader(start, false);
+		}
+		if (head.status() == TOO_MANY_REQUESTS || head.status() == UNAVAILABLE) {
+			return new FailedReader(work.attempt(), Problem.notRun(ProblemKind.OVERLOADED,
+					"Upstream '" + upstream.name() + "' refused it with status " + head.status() + "."));
+		}
+		if (head.status() >= SERVER_ERROR) {
+			return new FailedReader(work.attempt(), Problem.failed(ProblemKind.UPSTREAM_FAILED,
+					"Upstream '" + upstream.name() + "' answered with status " + head.status() + "."));
+		}
+		return contentType.startsWith(EVENT_STREAM) ? new StreamReader(start)
+				: new WholeReader(start, head.status() == OK);
+	}
+
+	private static void checkEcho(UpstreamEntry upstream, Work work, HttpHead head) throws AnswerFault {
+		String echo = head.field(CallHeaders.ATTEMPT);
+		boolean required = upstream.engine() || !echo.isEmpty();
+		if (required && !echo.equals(work.attempt().toString())) {
+			throw new AnswerFault("the answer is for '" + echo + "', not for attempt " + work.attempt(), true);
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/WholeReader.java
@@ -0,0 +1,44 @@
+package org.rattanhead.upstream.internal;
+
+import java.util.List;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.work.WorkChunk;
+import org.rattanhead.core.work.WorkEnded;
+import org.rattanhead.core.work.WorkSignal;
+import org.rattanhead.core.work.WorkStarted;
+
+/**
+ * Collects an answer and passes it on when it is whole.
+ */
+final class WholeReader implements AnswerReader {
+
+	private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+	private final WorkStarted start;
+
+	private final boolean checkId;
+
+	private final ByteBuffers buffer = new ByteBuffers(MAX_ANSWER_BYTES);
+
+	WholeReader(WorkStarted start, boolean checkId) {
+		this.start = start;
+		this.checkId = checkId;
+	}
+
+	@Override
+	public List<WorkSignal> read(Payload bytes) throws AnswerFault {
+		this.buffer.append(bytes);
+		return List.of();
+	}
+
+	@Override
+	public List<WorkSignal> end() throws AnswerFault {
+		Payload body = this.buffer.take(this.buffer.length());
+		if (this.checkId) {
+			AnswerIds.check(body, this.start.attempt());
+		}
+		return List.of(this.start, new WorkChunk(this.start.attempt(), body), new WorkEnded(this.start.attempt()));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of the calls to upstreams.
+ */
+package org.rattanhead.upstream.internal;
