Prove the thin path: contract tests, whole answers, bad input, processes, architecture

Cause: the path was only tried by hand.

ArchUnit holds the walls.

Found and mended: a body over the limit was answered while it was still being sent, so the caller saw a broken pipe instead of the refusal; the body is now read and discarded first, up to 64 MiB. A shared pool of idle connections could exceed its bound between check and count; it is now one synchronized structure.

Ruled out: closing at once with a lingering close, which needs a timer for each connection.

--- a/rattanhead-cli/src/main/java/org/rattanhead/cli/demo/ClusterSettings.java
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/demo/ClusterSettings.java
@@ -10,6 +10,8 @@
  * @param rates how fast the engines are
  * @param anyPort whether upstreams take free ports instead of those in the catalogue
  * @param addressTtlMillis how long callers may keep addresses, in milliseconds
+ * @param bodyTimeoutMillis how long a body may take to arrive, in milliseconds
  */
-public record ClusterSettings(Catalogue catalogue, EngineRates rates, boolean anyPort, long addressTtlMillis) {
+public record ClusterSettings(Catalogue catalogue, EngineRates rates, boolean anyPort, long addressTtlMillis,
+		long bodyTimeoutMillis) {
 }
--- a/rattanhead-cli/src/main/java/org/rattanhead/cli/demo/LocalCluster.java
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/demo/LocalCluster.java
@@ -48,8 +48,6 @@
 
 	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
-	private static final long BODY_TIMEOUT_MILLIS = 5_000;
-
 	private static final long PING_MILLIS = 500;
 
 	private static final long SILENCE_MILLIS = 2_000;
@@ -192,8 +190,8 @@
 
 	private DaemonSettings daemonSettings(Host host) {
 		return new DaemonSettings(host.name(),
-				new FrontEndSettings(HostAddress.parse(host.callerAddress()), 2, MAX_BODY_BYTES, BODY_TIMEOUT_MILLIS,
-						this.settings.addressTtlMillis()),
+				new FrontEndSettings(HostAddress.parse(host.callerAddress()), 2, MAX_BODY_BYTES,
+						this.settings.bodyTimeoutMillis(), this.settings.addressTtlMillis()),
 				new PeerSettings(host.name(), HostAddress.parse(host.peerAddress()), PING_MILLIS, SILENCE_MILLIS),
 				this.log.address(), this.hostList.address(), new LogSettings(LogFormat.TEXT, Level.WARN),
 				this.settings.addressTtlMillis(), DRAIN_TIMEOUT_MILLIS);
--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpCaller.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpCaller.java
@@ -71,13 +71,7 @@
 		Exchange exchange = new Exchange(call, observer, this.pool, this.buffers, this.open::remove);
 		this.open.add(exchange);
 		exchange.armTimeout(this.worker.getIoThread());
-		ClientConnection idle = this.pool.take(call.address());
-		if (idle != null) {
-			exchange.run(idle);
-		}
-		else {
-			connect(call.address(), exchange);
-		}
+		this.pool.take(call.address()).ifPresentOrElse(exchange::run, () -> connect(call.address(), exchange));
 		return exchange::abort;
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ConnectionPool.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ConnectionPool.java
@@ -1,45 +1,31 @@
 package org.rattanhead.client.internal;
 
 import java.net.InetSocketAddress;
-import java.util.Deque;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Optional;
 
 import io.undertow.client.ClientConnection;
 import org.xnio.IoUtils;
 
 /**
- * Idle connections by address, most recently used first.
+ * Idle connections by address.
  */
 public final class ConnectionPool implements AutoCloseable {
 
 	private static final int MAX_IDLE_CONNECTIONS = 4_096;
 
-	private final ConcurrentMap<InetSocketAddress, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
-
-	private final AtomicInteger idleCount = new AtomicInteger();
+	private final IdlePool<InetSocketAddress, ClientConnection> idle = new IdlePool<>(MAX_IDLE_CONNECTIONS);
 
 	/**
 	 * Takes an idle connection.
 	 * @param address where it leads
-	 * @return an open connection, null if there is none
+	 * @return an open connection, empty if there is none
 	 */
-	public ClientConnection take(InetSocketAddress address) {
-		Deque<ClientConnection> connections = this.idle.get(address);
-		if (connections == null) {
-			return null;
-		}
-		ClientConnection connection = connections.pollFirst();
-		while (connection != null) {
-			this.idleCount.decrementAndGet();
-			if (connection.isOpen()) {
-				return connection;
-			}
-			connection = connections.pollFirst();
+	public Optional<ClientConnection> take(InetSocketAddress address) {
+		Optional<ClientConnection> connection = this.idle.take(address);
+		while (connection.isPresent() && !connection.get().isOpen()) {
+			connection = this.idle.take(address);
 		}
-		return null;
+		return connection;
 	}
 
 	/**
@@ -48,18 +34,14 @@
 	 * @param connection the connection, without a call
 	 */
 	public void give(InetSocketAddress address, ClientConnection connection) {
-		if (!connection.isOpen() || this.idleCount.get() >= MAX_IDLE_CONNECTIONS) {
+		if (!connection.isOpen() || !this.idle.give(address, connection)) {
 			IoUtils.safeClose(connection);
-			return;
 		}
-		this.idleCount.incrementAndGet();
-		this.idle.computeIfAbsent(address, (key) -> new ConcurrentLinkedDeque<>()).addFirst(connection);
 	}
 
 	@Override
 	public void close() {
-		this.idle.values().forEach((connections) -> connections.forEach(IoUtils::safeClose));
-		this.idle.clear();
+		this.idle.takeAll().forEach(IoUtils::safeClose);
 	}
 
 }
--- /dev/null
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the HTTP client.
+ */
+package org.rattanhead.client.internal;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/catalogue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the catalogue.
+ */
+package org.rattanhead.decision.catalogue;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/edge/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the edge.
+ */
+package org.rattanhead.decision.edge;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/holder/HolderDeciderTests.java
@@ -0,0 +1,186 @@
+package org.rattanhead.decision.holder;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.catalogue.CatalogueEntry;
+import org.rattanhead.core.catalogue.FailureDomainState;
+import org.rattanhead.core.problem.Execution;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+import org.rattanhead.core.upstream.UpstreamLoad;
+import org.rattanhead.core.work.SubmitWork;
+import org.rattanhead.core.work.WorkEnded;
+import org.rattanhead.core.work.WorkFailed;
+import org.rattanhead.decision.CatalogueView;
+import org.rattanhead.decision.Fixtures;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link HolderDecider}.
+ */
+class HolderDeciderTests {
+
+	private static final long LATER = 100 * Fixtures.SECOND;
+
+	private final HolderDecider decider = new HolderDecider("da");
+
+	private final List<HolderCommand> commands = new ArrayList<>();
+
+	private void on(HolderEvent event, long nowNanos) {
+		this.commands.addAll(this.decider.decide(event, nowNanos));
+	}
+
+	private void ready() {
+		on(new HolderCatalogueChanged(Fixtures.view()), 0);
+		on(new HolderMembersChanged(Fixtures.hosts(), Fixtures.noneLeaving()), 0);
+	}
+
+	private void submit(String id, int priority, int promptTokens) {
+		on(new OrderReceived("db", new SubmitWork("e1", Fixtures.work(id, priority, promptTokens, LATER))), 0);
+	}
+
+	private void warm(long nowNanos) {
+		on(new LoadReported("e1", new UpstreamLoad("boot", false, 0, 0, 0)), nowNanos);
+	}
+
+	private List<String> dispatched() {
+		return this.commands.stream()
+			.filter(CallUpstream.class::isInstance)
+			.map((command) -> ((CallUpstream) command).work().attempt().request().value())
+			.toList();
+	}
+
+	private List<Problem> failures() {
+		return this.commands.stream()
+			.filter(SendSignal.class::isInstance)
+			.map((command) -> ((SendSignal) command).signal())
+			.filter(WorkFailed.class::isInstance)
+			.map((signal) -> ((WorkFailed) signal).problem())
+			.toList();
+	}
+
+	@ParameterizedTest(name = "warm: {0}")
+	@ValueSource(booleans = { true, false })
+	void sendsNoMoreThanTheUpstreamBears(boolean isWarm) {
+		ready();
+		if (isWarm) {
+			warm(0);
+		}
+		for (int index = 0; index < 9; index++) {
+			submit("r" + index, 0, 10);
+		}
+		assertThat(dispatched()).hasSize(isWarm ? 4 : 1);
+	}
+
+	@ParameterizedTest(name = "report after {0} ms")
+	@ValueSource(longs = { 0, 500, 1_999, 2_000, 3_000 })
+	void distrustsReportsAfterADisruption(long afterMillis) {
+		ready();
+		warm(0);
+		submit("broken", 0, 10);
+		Problem problem = Problem.unknown(ProblemKind.UPSTREAM_FAILED, "broken");
+		on(new UpstreamSignal("e1", new WorkFailed(Fixtures.attempt("broken", 1), problem), true), Fixtures.SECOND);
+		warm(Fixtures.SECOND + afterMillis * Fixtures.MILLI);
+		this.commands.clear();
+		for (int index = 0; index < 9; index++) {
+			submit("r" + index, 0, 10);
+		}
+		assertThat(dispatched()).hasSize((afterMillis >= 2_000) ? 4 : 1);
+	}
+
+	@ParameterizedTest(name = "prompt of {0}")
+	@ValueSource(ints = { 5_000, 9_990, 15_000 })
+	void reservesMemory(int promptTokens) {
+		ready();
+		warm(0);
+		for (int index = 0; index < 4; index++) {
+			submit("r" + index, 0, promptTokens);
+		}
+		assertThat(dispatched()).hasSize(20_000 / (promptTokens + 10));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("orders")
+	void servesByClassThenByLength(String name, int firstPriority, int firstTokens, int secondPriority,
+			int secondTokens, String next) {
+		ready();
+		submit("running", 0, 10);
+		submit("first", firstPriority, firstTokens);
+		submit("second", secondPriority, secondTokens);
+		on(new UpstreamSignal("e1", new WorkEnded(Fixtures.attempt("running", 1)), false), 1);
+		assertThat(dispatched()).containsExactly("running", next);
+	}
+
+	static Stream<Arguments> orders() {
+		return Stream.of(Arguments.of("class first", 10, 10, 0, 5_000, "second"),
+				Arguments.of("shorter first", 0, 5_000, 0, 10, "second"),
+				Arguments.of("earlier first", 0, 10, 0, 10, "first"));
+	}
+
+	static Stream<Arguments> withdrawals() {
+		List<CatalogueEntry> out = new ArrayList<>(Fixtures.base());
+		out.add(Fixtures.domain("a", FailureDomainState.OUT));
+		List<CatalogueEntry> removed = new ArrayList<>(Fixtures.base());
+		removed.removeIf((entry) -> entry.name().equals("e1"));
+		return Stream.of(
+				Arguments.of("failure domain out",
+						new HolderCatalogueChanged(new CatalogueView(Fixtures.catalogue(out)))),
+				Arguments.of("upstream removed",
+						new HolderCatalogueChanged(new CatalogueView(Fixtures.catalogue(removed)))),
+				Arguments.of("upstream leaving", new HolderMembersChanged(Fixtures.hosts(), Set.of("e1"))),
+				Arguments.of("lease moved", new HolderMembersChanged(List.of(Fixtures.entry("db", "b")), Set.of())),
+				Arguments.of("shutdown", new HolderShutdown()));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("withdrawals")
+	void returnsWaitingWorkAndFinishesRunningWork(String name, HolderEvent withdrawal) {
+		ready();
+		submit("running", 0, 10);
+		submit("waiting", 0, 10);
+		on(withdrawal, 1);
+		submit("late", 0, 10);
+		assertThat(dispatched()).containsExactly("running");
+		assertThat(failures()).hasSize(2).allMatch((problem) -> problem.execution() == Execution.NOT_RUN);
+		on(new UpstreamSignal("e1", new WorkEnded(Fixtures.attempt("running", 1)), false), 2);
+		assertThat(this.commands).anyMatch((command) -> command instanceof SendSignal send
+				&& send.signal().equals(new WorkEnded(Fixtures.attempt("running", 1))));
+	}
+
+	@ParameterizedTest(name = "running: {0}")
+	@ValueSource(booleans = { true, false })
+	void tellsTheTruthAtTheDeadline(boolean running) {
+		ready();
+		submit("before", 0, 10);
+		on(new OrderReceived("db", new SubmitWork("e1", Fixtures.work("r", 0, 10, Fixtures.SECOND))), 0);
+		if (running) {
+			on(new UpstreamSignal("e1", new WorkEnded(Fixtures.attempt("before", 1)), false), 1);
+		}
+		on(new HolderTick(), Fixtures.SECOND);
+		assertThat(failures()).extracting(Problem::execution)
+			.containsExactly(running ? Execution.FAILED : Execution.NOT_RUN);
+		assertThat(this.commands.stream().filter(AbortCall.class::isInstance)).hasSize(running ? 1 : 0);
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(strings = { "never sent", "already ended" })
+	void dropsStraySignals(String name) {
+		ready();
+		submit("r", 0, 10);
+		on(new UpstreamSignal("e1", new WorkEnded(Fixtures.attempt("r", 1)), false), 1);
+		this.commands.clear();
+		String id = name.startsWith("never") ? "other" : "r";
+		on(new UpstreamSignal("e1", new WorkEnded(Fixtures.attempt(id, 1)), false), 2);
+		assertThat(this.commands).containsExactly(new CountHolderEvent(HolderMetric.DROPPED_SIGNAL, "e1"));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/holder/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the lease holder.
+ */
+package org.rattanhead.decision.holder;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of membership.
+ */
+package org.rattanhead.decision.membership;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of decisions on a virtual clock.
+ */
+package org.rattanhead.decision;
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of placement.
+ */
+package org.rattanhead.decision.placement;
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
@@ -30,6 +30,8 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
+	private static final long MAX_DISCARDED_BYTES = 64L * 1024 * 1024;
+
 	private final FrontEndSettings settings;
 
 	private final EventSink<EdgeEvent> edge;
@@ -63,13 +65,17 @@
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
-		if (exchange.getRequestContentLength() > this.settings.maxBodyBytes()) {
+		if (exchange.getRequestContentLength() > MAX_DISCARDED_BYTES) {
 			refuseAndClose(exchange, tooLarge());
 			return;
 		}
 		AtomicBoolean received = new AtomicBoolean();
 		XnioExecutor.Key timeout = exchange.getIoThread()
 			.executeAfter(() -> expire(exchange, received), this.settings.bodyTimeoutMillis(), TimeUnit.MILLISECONDS);
+		if (exchange.getRequestContentLength() > this.settings.maxBodyBytes()) {
+			discard(exchange, received, timeout);
+			return;
+		}
 		exchange.getRequestReceiver().receiveFullBytes((same, bytes) -> {
 			if (received.compareAndSet(false, true)) {
 				timeout.remove();
@@ -83,6 +89,16 @@
 		});
 	}
 
+	private void discard(HttpServerExchange exchange, AtomicBoolean received, XnioExecutor.Key timeout) {
+		exchange.setMaxEntitySize(MAX_DISCARDED_BYTES);
+		exchange.getRequestReceiver().receivePartialBytes((same, bytes, last) -> {
+			if (last && received.compareAndSet(false, true)) {
+				timeout.remove();
+				refuse(same, tooLarge());
+			}
+		}, (same, ex) -> timeout.remove());
+	}
+
 	private void submit(HttpServerExchange exchange, Payload body) {
 		RequestId id = this.ids.get();
 		try {
--- /dev/null
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the encodings between daemons.
+ */
+package org.rattanhead.peer.internal;
--- /dev/null
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/catalogue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the catalogue's encodings.
+ */
+package org.rattanhead.platform.catalogue;
--- /dev/null
+++ b/rattanhead-proof/src/test/java/org/rattanhead/proof/ArchitectureTests.java
@@ -0,0 +1,141 @@
+package org.rattanhead.proof;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import com.lmax.disruptor.BusySpinWaitStrategy;
+import com.lmax.disruptor.PhasedBackoffWaitStrategy;
+import com.lmax.disruptor.SleepingWaitStrategy;
+import com.lmax.disruptor.YieldingWaitStrategy;
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaAccess;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.rattanhead.core.catalogue.CatalogueEntry;
+import org.rattanhead.core.work.WorkOrder;
+import org.rattanhead.core.work.WorkSignal;
+import org.rattanhead.decision.edge.EdgeCommand;
+import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.holder.HolderCommand;
+import org.rattanhead.decision.holder.HolderEvent;
+import org.rattanhead.decision.membership.MembershipEvent;
+
+/**
+ * The walls between the modules.
+ */
+class ArchitectureTests {
+
+	private static final JavaClasses CLASSES = new ClassFileImporter()
+		.withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+		.importPackages("org.rattanhead");
+
+	private static final Set<String> THREAD_SOURCES = Set.of("java.lang.Thread", "java.util.Timer",
+			"java.util.concurrent.Executors", "java.util.concurrent.ThreadPoolExecutor",
+			"java.util.concurrent.ScheduledThreadPoolExecutor", "java.util.concurrent.ForkJoinPool");
+
+	private static final Set<String> CLOCKS = Set.of("nanoTime", "currentTimeMillis");
+
+	private static final Set<String> SPINS = Set.of("onSpinWait", "yield", "parkNanos");
+
+	static Stream<Arguments> decisionRules() {
+		return Stream.of(
+				rule("decisions depend on core alone",
+						ArchRuleDefinition.classes()
+							.that()
+							.resideInAPackage("org.rattanhead.decision..")
+							.should()
+							.onlyDependOnClassesThat()
+							.resideInAnyPackage("org.rattanhead.decision..", "org.rattanhead.core..", "java.lang..",
+									"java.util", "java.util.function", "java.util.random", "java.util.regex",
+									"java.util.stream", "com.dynatrace.hash4j..")),
+				rule("decisions read no clock",
+						ArchRuleDefinition.noClasses()
+							.that()
+							.resideInAPackage("org.rattanhead.decision..")
+							.should()
+							.accessTargetWhere(call("java.lang.System", CLOCKS))),
+				rule("core depends on nothing of the project",
+						ArchRuleDefinition.noClasses()
+							.that()
+							.resideInAPackage("org.rattanhead.core..")
+							.should()
+							.dependOnClassesThat(DescribedPredicate.describe("are of other modules",
+									(JavaClass type) -> type.getPackageName().startsWith("org.rattanhead")
+											&& !type.getPackageName().startsWith("org.rattanhead.core")))));
+	}
+
+	static Stream<Arguments> threadRules() {
+		return Stream.of(
+				rule("only the ring package starts threads",
+						ArchRuleDefinition.noClasses()
+							.that()
+							.resideOutsideOfPackage("org.rattanhead.ring..")
+							.should()
+							.accessTargetWhere(DescribedPredicate.describe("create threads",
+									(JavaAccess<?> access) -> access.getTarget().getName().equals("<init>")
+											&& THREAD_SOURCES.contains(access.getTargetOwner().getName())))),
+				rule("no wait strategy spins or yields",
+						ArchRuleDefinition.noClasses()
+							.should()
+							.dependOnClassesThat()
+							.belongToAnyOf(BusySpinWaitStrategy.class, YieldingWaitStrategy.class,
+									SleepingWaitStrategy.class, PhasedBackoffWaitStrategy.class)),
+				rule("no thread spins while it waits",
+						ArchRuleDefinition.noClasses()
+							.should()
+							.accessTargetWhere(call("java.lang.Thread", SPINS))
+							.orShould()
+							.accessTargetWhere(call("java.util.concurrent.locks.LockSupport", SPINS))));
+	}
+
+	static Stream<Arguments> moduleRules() {
+		return Stream.of(
+				rule("generated messages stay between daemons",
+						ArchRuleDefinition.noClasses()
+							.that()
+							.resideOutsideOfPackages("org.rattanhead.peer..", "org.rattanhead.messages..")
+							.should()
+							.dependOnClassesThat()
+							.resideInAPackage("org.rattanhead.messages..")),
+				rule("packages form no cycles",
+						SlicesRuleDefinition.slices().matching("org.rattanhead.(*)..").should().beFreeOfCycles()));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource({ "decisionRules", "threadRules", "moduleRules" })
+	void holds(String name, ArchRule rule) {
+		rule.check(CLASSES);
+	}
+
+	static List<Class<?>> messages() {
+		return List.of(EdgeEvent.class, EdgeCommand.class, HolderEvent.class, HolderCommand.class,
+				MembershipEvent.class, WorkOrder.class, WorkSignal.class, CatalogueEntry.class);
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void dataAreRecords(Class<?> message) {
+		ArchRuleDefinition.classes().that().implement(message).should().beRecords().check(CLASSES);
+	}
+
+	private static DescribedPredicate<JavaAccess<?>> call(String owner, Set<String> names) {
+		return DescribedPredicate.describe("call " + names + " of " + owner,
+				(access) -> access.getTargetOwner().getName().equals(owner)
+						&& names.contains(access.getTarget().getName()));
+	}
+
+	private static Arguments rule(String name, ArchRule rule) {
+		return Arguments.of(name, rule);
+	}
+
+}
--- /dev/null
+++ b/rattanhead-proof/src/test/java/org/rattanhead/proof/BadInputTests.java
@@ -0,0 +1,144 @@
+package org.rattanhead.proof;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.rattanhead.cli.demo.LocalCluster;
+import org.rattanhead.client.HttpCall;
+import org.rattanhead.client.HttpCaller;
+import org.rattanhead.client.HttpField;
+import org.rattanhead.client.HttpReply;
+import org.rattanhead.core.Payload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Bad input is refused with a problem document that names a remedy; nothing is dispatched
+ * and the daemon goes on.
+ */
+class BadInputTests {
+
+	private static final JsonMapper MAPPER = new JsonMapper();
+
+	private static final String CHAT = "/v1/chat/completions";
+
+	private static final HttpField KEY = new HttpField("Authorization", "Bearer " + TestClusters.KEY);
+
+	private static final HttpField WRONG_KEY = new HttpField("Authorization", "Bearer wrong");
+
+	private static LocalCluster cluster;
+
+	private static HttpCaller caller;
+
+	@BeforeAll
+	static void start() {
+		cluster = TestClusters.start();
+		caller = new HttpCaller("test", 1);
+	}
+
+	@AfterAll
+	static void stop() throws Exception {
+		caller.close();
+		cluster.close();
+	}
+
+	static Stream<Arguments> table() {
+		String good = body(TestClusters.MODEL, "hello");
+		return Stream.of(row("malformed JSON", CHAT, "{bad", 400, "malformed-request", KEY),
+				row("an array", CHAT, "[]", 400, "malformed-request", KEY),
+				row("an empty body", CHAT, "", 400, "malformed-request", KEY),
+				row("more after the object", CHAT, good + "{}", 400, "malformed-request", KEY),
+				row("no model", CHAT, "{\"messages\":[]}", 400, "malformed-request", KEY),
+				row("no messages", CHAT, "{\"model\":\"m\"}", 400, "malformed-request", KEY),
+				row("a model that is a number", CHAT, "{\"model\":1,\"messages\":[]}", 400, "malformed-request", KEY),
+				row("negative max_tokens", CHAT, good.replace("}]", "}],\"max_tokens\":-1"), 400, "malformed-request",
+						KEY),
+				row("unknown model", CHAT, body("other", "hello"), 404, "unknown-model", KEY),
+				row("no key", CHAT, good, 401, "unauthorized"),
+				row("wrong key", CHAT, good, 401, "unauthorized", WRONG_KEY),
+				row("oversized body", CHAT, "x".repeat(16 * 1024 * 1024 + 1), 413, "body-too-large", KEY),
+				row("prompt over any memory", CHAT, body(TestClusters.MODEL, "x".repeat(4 * 1_100_001)), 413,
+						"prompt-too-long", KEY),
+				row("absurd deadline", CHAT, good, 400, "invalid-deadline", KEY, timeout("soon")),
+				row("negative deadline", CHAT, good, 400, "invalid-deadline", KEY, timeout("-5")),
+				row("zero deadline", CHAT, good, 400, "invalid-deadline", KEY, timeout("0")),
+				row("deadline of centuries", CHAT, good, 400, "invalid-deadline", KEY, timeout("99999999999")),
+				row("deadline of many digits", CHAT, good, 400, "invalid-deadline", KEY, timeout("9".repeat(40))),
+				row("empty idempotency key", CHAT, good, 400, "malformed-request", KEY,
+						new HttpField("Idempotency-Key", " ")),
+				row("unknown path", "/v2/chat", good, 404, "unknown-path", KEY),
+				row("wrong method", "/v1/models", good, 405, "method-not-allowed", KEY),
+				row("unknown service", "/services/other/x", "{}", 404, "unknown-service", KEY),
+				row("no service", "/services/", "{}", 404, "unknown-path", KEY),
+				row("order without a key", "/services/orders/orders", "{}", 400, "missing-idempotency-key", KEY));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("table")
+	void isRefusedWithARemedy(String name, String path, String body, int status, String type, List<HttpField> fields)
+			throws IOException {
+		long before = TestClusters.finished(cluster);
+		HttpReply reply = caller.call(new HttpCall(address(), "POST", path, fields, Payload.of(body), 10_000)).join();
+		assertProblem(reply, status, type);
+		assertThat(TestClusters.finished(cluster)).isEqualTo(before);
+		assertUnharmed();
+	}
+
+	@ParameterizedTest(name = "{0} of 100 bytes sent")
+	@MethodSource("drips")
+	void refusesABodyThatDrips(int sent) throws IOException {
+		RawReply reply = RawReply.send(address(),
+				"POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n" + "x".repeat(sent));
+		assertThat(reply.text()).startsWith("HTTP/1.1 408").contains("slow-request", "not-run", "500 ms");
+		assertUnharmed();
+	}
+
+	static Stream<Integer> drips() {
+		return Stream.of(0, 1, 99);
+	}
+
+	private static void assertProblem(HttpReply reply, int status, String type) throws IOException {
+		JsonNode problem = MAPPER.readTree(reply.body().bytes());
+		assertThat(reply.status()).isEqualTo(status);
+		assertThat(reply.head().field("Content-Type")).isEqualTo("application/problem+json");
+		assertThat(problem.path("type").asText()).endsWith(":" + type);
+		assertThat(problem.path("execution").asText()).isEqualTo("not-run");
+		assertThat(problem.path("remedy").asText()).isNotBlank();
+		assertThat(problem.path("detail").asText()).isNotBlank();
+	}
+
+	private static void assertUnharmed() {
+		HttpReply reply = caller
+			.call(new HttpCall(address(), "POST", CHAT, List.of(KEY),
+					Payload.of(body(TestClusters.MODEL, "hello").replace("}]", "}],\"max_tokens\":2")), 10_000))
+			.join();
+		assertThat(reply.status()).isEqualTo(200);
+	}
+
+	private static InetSocketAddress address() {
+		return cluster.addresses().get(0);
+	}
+
+	private static String body(String model, String prompt) {
+		return "{\"model\":\"" + model + "\",\"messages\":[{\"role\":\"user\",\"content\":\"" + prompt + "\"}]}";
+	}
+
+	private static HttpField timeout(String value) {
+		return new HttpField("X-Request-Timeout-Ms", value);
+	}
+
+	private static Arguments row(String name, String path, String body, int status, String type, HttpField... fields) {
+		return Arguments.of(name, path, body, status, type, List.of(fields));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-proof/src/test/java/org/rattanhead/proof/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the system as a whole, and of its architecture.
+ */
+package org.rattanhead.proof;
--- /dev/null
+++ b/rattanhead-ring/src/test/java/org/rattanhead/ring/DutyTests.java
@@ -0,0 +1,77 @@
+package org.rattanhead.ring;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link Duty}.
+ */
+class DutyTests {
+
+	private static final int SLOTS = 16;
+
+	@ParameterizedTest(name = "{0} takes {1} of " + SLOTS)
+	@CsvSource({ "NEW_WORK, 8", "STREAM, 12", "CONTROL, 16" })
+	void leavesRoomForWhatMustEnd(Urgency urgency, int expected) throws InterruptedException {
+		CountDownLatch release = new CountDownLatch(1);
+		CountDownLatch entered = new CountDownLatch(1);
+		try (Duty<Integer> duty = new Duty<>("test", SLOTS, System::nanoTime, (event, now) -> {
+			entered.countDown();
+			await(release);
+		})) {
+			assertThat(duty.offer(0, Urgency.CONTROL)).isTrue();
+			entered.await();
+			long taken = IntStream.range(0, 2 * SLOTS).filter((event) -> duty.offer(event, urgency)).count();
+			assertThat(duty.backlog()).isEqualTo(expected);
+			assertThat(taken).isEqualTo(expected - 1);
+			assertThat(duty.refused()).isEqualTo(2 * SLOTS - taken);
+			release.countDown();
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 7, 500 })
+	void handlesEventsInOrderBeforeItCloses(int count) {
+		List<Integer> handled = new CopyOnWriteArrayList<>();
+		try (Duty<Integer> duty = new Duty<>("test", 1_024, System::nanoTime, (event, now) -> handled.add(event))) {
+			IntStream.range(0, count).forEach((event) -> duty.offer(event, Urgency.CONTROL));
+		}
+		assertThat(handled).containsExactlyElementsOf(IntStream.range(0, count).boxed().toList());
+	}
+
+	@ParameterizedTest
+	@EnumSource(Urgency.class)
+	void goesOnAfterAFailure(Urgency urgency) {
+		List<Integer> handled = new CopyOnWriteArrayList<>();
+		try (Duty<Integer> duty = new Duty<>("test", SLOTS, System::nanoTime, (event, now) -> {
+			if (event == 1) {
+				throw new IllegalStateException("expected by the test");
+			}
+			handled.add(event);
+		})) {
+			duty.offer(1, urgency);
+			duty.offer(2, urgency);
+		}
+		assertThat(handled).containsExactly(2);
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await(10, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-ring/src/test/java/org/rattanhead/ring/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of duties.
+ */
+package org.rattanhead.ring;
--- /dev/null
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/internal/AnswerObserverTests.java
@@ -0,0 +1,185 @@
+package org.rattanhead.upstream.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.client.CallFailure;
+import org.rattanhead.client.HttpField;
+import org.rattanhead.client.HttpHead;
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.catalogue.UpstreamEntry;
+import org.rattanhead.core.problem.Execution;
+import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.core.request.RequestId;
+import org.rattanhead.core.request.Target;
+import org.rattanhead.core.request.TargetKind;
+import org.rattanhead.core.request.UpstreamCall;
+import org.rattanhead.core.request.Work;
+import org.rattanhead.core.work.WorkChunk;
+import org.rattanhead.core.work.WorkEnded;
+import org.rattanhead.core.work.WorkFailed;
+import org.rattanhead.core.work.WorkSignal;
+import org.rattanhead.core.work.WorkStarted;
+import org.rattanhead.decision.holder.UpstreamSignal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link AnswerObserver}.
+ */
+class AnswerObserverTests {
+
+	private static final String EVENT = "data: {\"object\":\"x\",\"id\":\"chatcmpl-r.1\",\"choices\":[]}\n\n";
+
+	private static final String DONE = "data: [DONE]\n\n";
+
+	private final List<UpstreamSignal> signals = new ArrayList<>();
+
+	private final AtomicInteger crossed = new AtomicInteger();
+
+	private boolean room = true;
+
+	private final AnswerObserver observer = observer("");
+
+	private AnswerObserver observer(String idempotencyKey) {
+		UpstreamEntry upstream = new UpstreamEntry("e", "o", "d", "m", "", "127.0.0.1:1", 1, 1, 1, false);
+		Work work = new Work(new AttemptId(new RequestId("r"), 1), "w", new Target(TargetKind.MODEL, "m"),
+				new UpstreamCall("POST", "/", "", true, Payload.EMPTY), 0, 1, 1, 0, idempotencyKey);
+		return new AnswerObserver(upstream, work, (event, urgency) -> {
+			if (this.room) {
+				this.signals.add((UpstreamSignal) event);
+			}
+			return this.room;
+		}, (name) -> this.crossed.incrementAndGet(), () -> {
+		});
+	}
+
+	private void head(int status, String contentType, String echo) {
+		this.observer.onHead(new HttpHead(status,
+				List.of(new HttpField("Content-Type", contentType), new HttpField("X-Request-Id", echo))));
+	}
+
+	private String text() {
+		StringBuilder text = new StringBuilder();
+		this.signals.stream()
+			.map(UpstreamSignal::signal)
+			.filter(WorkChunk.class::isInstance)
+			.forEach((chunk) -> text.append(((WorkChunk) chunk).bytes().text()));
+		return text.toString();
+	}
+
+	private WorkSignal last() {
+		return this.signals.get(this.signals.size() - 1).signal();
+	}
+
+	@ParameterizedTest(name = "parts of {0} bytes")
+	@ValueSource(ints = { 1, 2, 7, 64, 10_000 })
+	void passesEventsOnByteForByte(int partBytes) {
+		head(200, "text/event-stream", "r.1");
+		String answer = EVENT + EVENT + EVENT + DONE;
+		for (int from = 0; from < answer.length(); from += partBytes) {
+			this.observer.onBytes(Payload.of(answer.substring(from, Math.min(answer.length(), from + partBytes))));
+		}
+		this.observer.onEnd();
+		assertThat(text()).isEqualTo(answer);
+		assertThat(this.signals.get(0).signal()).isInstanceOf(WorkStarted.class);
+		assertThat(last()).isInstanceOf(WorkEnded.class);
+	}
+
+	static Stream<Arguments> faults() {
+		return Stream.of(
+				Arguments.of("echo of another request", 1,
+						consumer((test) -> test.head(200, "text/event-stream", "q.1"))),
+				Arguments.of("echo of another attempt", 1,
+						consumer((test) -> test.head(200, "text/event-stream", "r.2"))),
+				Arguments.of("no echo", 1, consumer((test) -> test.head(200, "text/event-stream", ""))),
+				Arguments.of("event of another request", 1,
+						consumer((test) -> test.stream(EVENT.replace("r.1", "q.1")))),
+				Arguments.of("no end mark", 0, consumer((test) -> test.stream(EVENT))),
+				Arguments.of("half an event after the end mark", 0,
+						consumer((test) -> test.stream(EVENT + DONE + "da"))),
+				Arguments.of("an event that is not JSON", 0, consumer((test) -> test.stream("data: {\n\n"))),
+				Arguments.of("an event without an id", 0, consumer((test) -> test.stream("data: {}\n\n"))),
+				Arguments.of("whole answer of another request", 1,
+						consumer((test) -> test.whole("{\"id\":\"c-q.1\"}"))),
+				Arguments.of("half a whole answer", 0, consumer((test) -> test.whole("{\"object\":"))),
+				Arguments.of("server error", 0, consumer((test) -> test.status(500))));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("faults")
+	void neverEndsCleanlyOnAFault(String name, int crossedAnswers, Consumer<AnswerObserverTests> fault) {
+		fault.accept(this);
+		assertThat(last()).isInstanceOf(WorkFailed.class);
+		assertThat(this.signals.stream().filter((signal) -> signal.signal() instanceof WorkFailed)).hasSize(1);
+		assertThat(((WorkFailed) last()).problem().execution()).isNotEqualTo(Execution.NOT_RUN);
+		assertThat(this.crossed.get()).isEqualTo(crossedAnswers);
+	}
+
+	@ParameterizedTest(name = "status {0}")
+	@ValueSource(ints = { 429, 503 })
+	void treatsARefusalAsNotRun(int status) {
+		status(status);
+		assertThat(((WorkFailed) last()).problem().execution()).isEqualTo(Execution.NOT_RUN);
+	}
+
+	static Stream<Arguments> failures() {
+		return Stream.of(Arguments.of(CallFailure.NOT_SENT, Execution.NOT_RUN, true),
+				Arguments.of(CallFailure.BROKEN, Execution.UNKNOWN, true),
+				Arguments.of(CallFailure.TIMED_OUT, Execution.UNKNOWN, false),
+				Arguments.of(CallFailure.ABORTED, Execution.UNKNOWN, false));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("failures")
+	void saysNotRunOnlyIfNothingWasSent(CallFailure failure, Execution execution, boolean disrupted) {
+		this.observer.onFailure(failure, "test");
+		assertThat(((WorkFailed) last()).problem().execution()).isEqualTo(execution);
+		assertThat(this.signals.get(0).disrupted()).isEqualTo(disrupted);
+	}
+
+	@ParameterizedTest(name = "{0} refusals")
+	@ValueSource(ints = { 1, 3 })
+	void keepsBytesWhileTheRingIsFull(int refusals) {
+		head(200, "text/event-stream", "r.1");
+		this.room = false;
+		for (int refusal = 0; refusal < refusals; refusal++) {
+			assertThat(this.observer.onBytes(Payload.of(EVENT + DONE))).isFalse();
+		}
+		this.room = true;
+		assertThat(this.observer.onBytes(Payload.of(EVENT + DONE))).isTrue();
+		this.observer.onEnd();
+		assertThat(text()).isEqualTo(EVENT + DONE);
+		assertThat(last()).isInstanceOf(WorkEnded.class);
+	}
+
+	private static Consumer<AnswerObserverTests> consumer(Consumer<AnswerObserverTests> fault) {
+		return fault;
+	}
+
+	private void stream(String body) {
+		head(200, "text/event-stream", "r.1");
+		this.observer.onBytes(Payload.of(body));
+		this.observer.onEnd();
+	}
+
+	private void whole(String body) {
+		head(200, "application/json", "r.1");
+		this.observer.onBytes(Payload.of(body));
+		this.observer.onEnd();
+	}
+
+	private void status(int status) {
+		head(status, "application/json", "r.1");
+		this.observer.onEnd();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of reading answers.
+ */
+package org.rattanhead.upstream.internal;
