--- a/rattanhead-core/src/main/java/org/rattanhead/core/catalogue/Catalogue.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/catalogue/Catalogue.java
@@ -2,7 +2,6 @@
 
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -73,14 +72,4 @@
 		return new Catalogue(newOffset, this.entries);
 	}
 
-	/**
-	 * Returns a copy with other entries.
-	 * @param newOffset the new offset
-	 * @param newEntries the new entries
-	 * @return the copy
-	 */
-	public Catalogue with(long newOffset, Map<EntryKey, VersionedEntry> newEntries) {
-		return new Catalogue(newOffset, new TreeMap<>(newEntries));
-	}
-
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -47,7 +47,8 @@
 import org.rattanhead.upstream.UpstreamDuty;
 
 /**
- * One daemon: its duties and the rings between them.
+ * One daemon: its duties and the rings between them. Events that arrive before all duties
+ * are wired wait in their ring.
  */
 public final class Daemon implements AutoCloseable {
 
@@ -73,9 +74,9 @@
 
 	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
 
-	private final EdgeRouter edgeRouter;
+	private final CompletableFuture<EdgeRouter> edgeRouter = new CompletableFuture<>();
 
-	private final HolderRouter holderRouter;
+	private final CompletableFuture<HolderRouter> holderRouter = new CompletableFuture<>();
 
 	private final Duty<EdgeEvent> edge;
 
@@ -100,10 +101,11 @@
 		HolderDecider holderDecider = new HolderDecider(self);
 		HttpCaller platformCaller = own(new HttpCaller("platform", 1));
 		HttpCaller upstreamCaller = own(new HttpCaller("upstream", IO_THREADS));
-		this.edge = own(new Duty<>("edge", RING_SLOTS, System::nanoTime,
-				(event, now) -> edgeDecider.decide(event, now).forEach((command) -> edgeRouter().route(command, now))));
-		this.holder = own(new Duty<>("holder", RING_SLOTS, System::nanoTime, (event,
-				now) -> holderDecider.decide(event, now).forEach((command) -> holderRouter().route(command, now))));
+		this.edge = own(new Duty<>("edge", RING_SLOTS, System::nanoTime, (event, now) -> edgeDecider.decide(event, now)
+			.forEach((command) -> this.edgeRouter.join().route(command, now))));
+		this.holder = own(
+				new Duty<>("holder", RING_SLOTS, System::nanoTime, (event, now) -> holderDecider.decide(event, now)
+					.forEach((command) -> this.holderRouter.join().route(command, now))));
 		this.membership = own(new MembershipDuty(self,
 				new HttpHostListService(platformCaller, settings.hostListAddress()), this::membershipChanged));
 		LogService log = new HttpLogService(platformCaller, settings.logServiceAddress());
@@ -114,10 +116,10 @@
 		UpstreamDuty upstreams = own(new UpstreamDuty(upstreamCaller, this.holder, this.metrics::countCrossedAnswer));
 		FrontEnd frontEnd = own(new FrontEnd(self, settings.callers(), this.edge, pages(), this.metrics));
 		DeliveryDuty delivery = own(new DeliveryDuty(frontEnd.answers(), this.edge));
-		this.edgeRouter = new EdgeRouter(self, this.edge, this.holder, this.peers, this.claims, delivery, this.metrics,
-				() -> this.edgeDrained.complete(null));
-		this.holderRouter = new HolderRouter(self, this.edge, this.holder, this.peers, upstreams, this.board,
-				this.metrics, () -> this.holderDrained.complete(null));
+		this.edgeRouter.complete(new EdgeRouter(self, this.edge, this.holder, this.peers, this.claims, delivery,
+				this.metrics, () -> this.edgeDrained.complete(null)));
+		this.holderRouter.complete(new HolderRouter(self, this.edge, this.holder, this.peers, upstreams, this.board,
+				this.metrics, () -> this.holderDrained.complete(null)));
 		this.metrics.watchPeers(this.network::sentBytes);
 		this.metrics.watch(List.of(this.edge, this.holder, this.membership.duty(), this.peers.duty(),
 				this.claims.duty(), upstreams.duty(), delivery.duty()));
@@ -159,14 +161,6 @@
 		return this.board.ready();
 	}
 
-	private EdgeRouter edgeRouter() {
-		return this.edgeRouter;
-	}
-
-	private HolderRouter holderRouter() {
-		return this.holderRouter;
-	}
-
 	private FrontEndPages pages() {
 		return new FrontEndPages(this.board::catalogue, this.board::membership, this.board::ready, this.metrics::page,
 				() -> StatusPage.encode(this.settings.host(), this.board));
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DeliveryDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DeliveryDuty.java
@@ -32,26 +32,15 @@
 	DeliveryDuty(AnswerWriter answers, EventSink<EdgeEvent> edge) {
 		this.edge = edge;
 		HandlerTable<EdgeCommand, Boolean> handlers = new HandlerTable<EdgeCommand, Boolean>()
-			.on(StartAnswer.class, (command, now) -> {
-				answers.start(command.request(), command.upstream(), command.status(), command.contentType());
-				return true;
-			})
-			.on(WriteAnswer.class, (command, now) -> {
-				answers.write(command.request(), command.bytes());
-				return true;
-			})
-			.on(EndAnswer.class, (command, now) -> {
-				answers.end(command.request());
-				return true;
-			})
-			.on(RefuseCaller.class, (command, now) -> {
-				answers.refuse(command.request(), command.problem());
-				return true;
-			})
-			.on(BreakAnswer.class, (command, now) -> {
-				answers.breakOff(command.request(), command.problem());
-				return true;
-			});
+			.on(StartAnswer.class,
+					(command,
+							now) -> done(() -> answers.start(command.request(), command.upstream(), command.status(),
+									command.contentType())))
+			.on(WriteAnswer.class, (command, now) -> done(() -> answers.write(command.request(), command.bytes())))
+			.on(EndAnswer.class, (command, now) -> done(() -> answers.end(command.request())))
+			.on(RefuseCaller.class, (command, now) -> done(() -> answers.refuse(command.request(), command.problem())))
+			.on(BreakAnswer.class,
+					(command, now) -> done(() -> answers.breakOff(command.request(), command.problem())));
 		this.duty = new Duty<>("delivery", RING_SLOTS, System::nanoTime, handlers::handle);
 	}
 
@@ -69,6 +58,11 @@
 		return this.duty;
 	}
 
+	private static boolean done(Runnable action) {
+		action.run();
+		return true;
+	}
+
 	private void abandon(RequestId request) {
 		this.edge.offer(new CallerGone(request), Urgency.CONTROL);
 		this.duty.offer(
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/claim/ClaimDuty.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/claim/ClaimDuty.java
@@ -49,6 +49,8 @@
 
 	private final List<ClaimDecider> deciders = new ArrayList<>();
 
+	private final List<HandlerTable<ClaimCommand, Boolean>> routes = new ArrayList<>();
+
 	private final Duty<ShardEvent> duty;
 
 	private volatile boolean idle;
@@ -66,6 +68,7 @@
 		this.verdicts = verdicts;
 		for (int shard = 0; shard < ClaimPlacement.SHARDS; shard++) {
 			this.deciders.add(new ClaimDecider(maxBatchRecords));
+			this.routes.add(routes(shard));
 		}
 		this.duty = new Duty<>("claims", RING_SLOTS, System::nanoTime, this::handle);
 	}
@@ -113,16 +116,21 @@
 	}
 
 	private void handle(ShardEvent event, long nowNanos) {
-		HandlerTable<ClaimCommand, Boolean> commands = new HandlerTable<ClaimCommand, Boolean>()
-			.on(AppendClaims.class, (command, now) -> append(event.shard(), command))
-			.on(ReadClaims.class, (command, now) -> read(event.shard(), command))
-			.on(SendVerdict.class, (command, now) -> send(command));
+		HandlerTable<ClaimCommand, Boolean> commands = this.routes.get(event.shard());
 		this.deciders.get(event.shard())
 			.decide(event.event(), nowNanos)
 			.forEach((command) -> commands.handle(command, nowNanos));
 		this.idle = this.deciders.stream().allMatch(ClaimDecider::idle);
 	}
 
+	private HandlerTable<ClaimCommand, Boolean> routes(int shard) {
+		return new HandlerTable<ClaimCommand, Boolean>()
+			.on(AppendClaims.class, (command, now) -> append(shard, command))
+			.on(ReadClaims.class, (command, now) -> read(shard, command))
+			.on(SendVerdict.class, (command, now) -> send(command))
+			.covering(ClaimCommand.class);
+	}
+
 	private boolean append(int shard, AppendClaims command) {
 		this.log.append(stream(shard), ClaimJson.encode(command.records()))
 			.whenComplete((offset, failure) -> reply(shard, new ClaimsAppended(failure == null)));
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/AnswerSink.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/AnswerSink.java
@@ -7,7 +7,9 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.server.ResponseWriter;
 import org.rattanhead.standin.AnswerText;
+import org.rattanhead.standin.http.ErrorBody;
 import org.rattanhead.standin.http.Replies;
+import org.rattanhead.standin.http.Reply;
 
 /**
  * Writes one answer of an engine, token by token as server-sent events or at once as
@@ -24,6 +26,8 @@
 			+ "\"model\":\"%s\",\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":\"%s\"},"
 			+ "\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}";
 
+	private static final int CONFLICT = 409;
+
 	private final HttpServerExchange exchange;
 
 	private final EngineRequest request;
@@ -67,6 +71,12 @@
 		onIoThread(this.writer::end);
 	}
 
+	@Override
+	public void onFenced() {
+		onIoThread(() -> Replies.send(this.exchange, Reply.of(CONFLICT,
+				new ErrorBody("the fencing number is old", "the lease has moved; give the request back"))));
+	}
+
 	@Override
 	public void onReset() {
 		onIoThread(() -> Replies.close(this.exchange));
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineModel.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineModel.java
@@ -47,6 +47,8 @@
 
 	private long arrivals;
 
+	private long highestFencingNumber;
+
 	private String previousId = "";
 
 	private EngineCounts counts = new EngineCounts(0, 0, 0, 0, 0);
@@ -94,6 +96,10 @@
 			sink.onReset();
 			return;
 		}
+		if (fenced(request)) {
+			sink.onFenced();
+			return;
+		}
 		Sequence sequence = new Sequence(request, sink, this.arrivals++);
 		applyFaults(sequence);
 		this.previousId = request.id();
@@ -144,6 +150,12 @@
 		decode(seconds * this.profile.decodeTokensPerSecond());
 	}
 
+	private boolean fenced(EngineRequest request) {
+		boolean old = this.profile.checksFencing() && request.fencingNumber() < this.highestFencingNumber;
+		this.highestFencingNumber = Math.max(this.highestFencingNumber, request.fencingNumber());
+		return old;
+	}
+
 	private void silence(long untilNanos) {
 		this.silentUntilNanos = untilNanos;
 	}
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineRequest.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/EngineRequest.java
@@ -9,8 +9,10 @@
  * @param promptTokens length of the prompt, in tokens
  * @param outputTokens length of the answer, in tokens
  * @param streamed whether the answer is a stream
+ * @param fencingNumber the fencing number it carries, 0 if it carries none
  */
-record EngineRequest(String id, int priority, long promptDigest, int promptTokens, int outputTokens, boolean streamed) {
+record EngineRequest(String id, int priority, long promptDigest, int promptTokens, int outputTokens, boolean streamed,
+		long fencingNumber) {
 
 	long memoryTokens() {
 		return (long) this.promptTokens + this.outputTokens;
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/RequestParser.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/RequestParser.java
@@ -20,6 +20,8 @@
 
 	private static final String REQUEST_ID = "X-Request-Id";
 
+	private static final String FENCING_NUMBER = "X-Fencing-Number";
+
 	private static final String PRIORITY = "X-Request-Priority";
 
 	private RequestParser() {
@@ -33,7 +35,7 @@
 			.asInt(node.path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS));
 		return new EngineRequest(header(exchange, REQUEST_ID, "none"),
 				Integer.parseInt(header(exchange, PRIORITY, "0")), AnswerText.digest(prompt), Math.max(1, promptTokens),
-				outputTokens, node.path("stream").asBoolean());
+				outputTokens, node.path("stream").asBoolean(), Long.parseLong(header(exchange, FENCING_NUMBER, "0")));
 	}
 
 	private static String prompt(JsonNode node) throws IOException {
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/SequenceSink.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/engine/SequenceSink.java
@@ -18,6 +18,11 @@
 	 */
 	void onEnd(String answerId);
 
+	/**
+	 * Refuses the request because its fencing number is old.
+	 */
+	void onFenced();
+
 	/**
 	 * Closes the connection.
 	 */
--- /dev/null
+++ b/rattanhead-standin/src/test/java/org/rattanhead/standin/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the engine stand-in.
+ */
+package org.rattanhead.standin.engine;
