Set faults of the host list and the plain service through their API

Cause: both could be disturbed only from within the process, so a run with daemons as processes of their own could not show a leaving host or a lost answer.

--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/host/HostListStandin.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/host/HostListStandin.java
@@ -1,20 +1,28 @@
 package org.rattanhead.standin.host;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 
+import io.undertow.server.HttpServerExchange;
+
+import org.rattanhead.core.Payload;
 import org.rattanhead.core.host.Host;
 import org.rattanhead.core.host.HostList;
 import org.rattanhead.ring.Ticker;
+import org.rattanhead.standin.http.ErrorBody;
 import org.rattanhead.standin.http.Replies;
 import org.rattanhead.standin.http.Reply;
 import org.rattanhead.standin.http.StandinServer;
 
 /**
- * A stand-in of the platform's host list. Changes show after a lag.
+ * A stand-in of the platform's host list. Changes, by method or by POST of a whole list,
+ * show after a lag.
  */
 public final class HostListStandin implements AutoCloseable {
 
+	private static final int BAD_REQUEST = 400;
+
 	private final Ticker ticker = new Ticker("host-standin-ticker");
 
 	private final long lagMillis;
@@ -30,7 +38,7 @@
 	 */
 	public HostListStandin(InetSocketAddress address, long lagMillis) {
 		this.lagMillis = lagMillis;
-		this.server = new StandinServer(address, (exchange) -> Replies.send(exchange, Reply.ok(this.visible)));
+		this.server = new StandinServer(address, this::handle);
 	}
 
 	/**
@@ -55,6 +63,26 @@
 		}
 	}
 
+	private void handle(HttpServerExchange exchange) {
+		if ("POST".equals(exchange.getRequestMethod().toString())) {
+			Replies.withBody(exchange, (body) -> replace(exchange, body));
+		}
+		else {
+			Replies.send(exchange, Reply.ok(this.visible));
+		}
+	}
+
+	private void replace(HttpServerExchange exchange, Payload body) {
+		try {
+			HostList list = Replies.MAPPER.readValue(body.bytes(), HostList.class);
+			set(list.hosts());
+			Replies.send(exchange, Reply.ok(list));
+		}
+		catch (IOException ex) {
+			Replies.send(exchange, Reply.of(BAD_REQUEST, new ErrorBody("malformed host list", "send 'hosts'")));
+		}
+	}
+
 	@Override
 	public void close() {
 		this.ticker.close();
--- a/rattanhead-standin/src/main/java/org/rattanhead/standin/service/ServiceStandin.java
+++ b/rattanhead-standin/src/main/java/org/rattanhead/standin/service/ServiceStandin.java
@@ -18,6 +18,10 @@
  */
 public final class ServiceStandin implements AutoCloseable {
 
+	private static final String LOSE_NEXT_ANSWER = "/faults/lose-next-answer";
+
+	private static final String RUNS = "/runs";
+
 	private static final String KEY_HEADER = "Idempotency-Key";
 
 	private final ConcurrentMap<String, Integer> runs = new ConcurrentHashMap<>();
@@ -60,6 +64,15 @@
 	}
 
 	private void handle(HttpServerExchange exchange, Payload body) {
+		if (LOSE_NEXT_ANSWER.equals(exchange.getRequestPath())) {
+			loseNextAnswer();
+			Replies.send(exchange, Reply.ok(LOSE_NEXT_ANSWER));
+			return;
+		}
+		if (RUNS.equals(exchange.getRequestPath())) {
+			Replies.send(exchange, Reply.ok(this.runs));
+			return;
+		}
 		String key = exchange.getRequestHeaders().getFirst(KEY_HEADER);
 		int run = (key != null) ? this.runs.merge(key, 1, Integer::sum) : 0;
 		if (this.loseNextAnswer.compareAndSet(true, false)) {
