--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Actions.java
@@ -0,0 +1,16 @@
+package org.rattanhead.daemon;
+
+/**
+ * Adapts actions without a result to handlers that have one.
+ */
+final class Actions {
+
+	private Actions() {
+	}
+
+	static boolean done(Runnable action) {
+		action.run();
+		return true;
+	}
+
+}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DeliveryDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DeliveryDuty.java
@@ -34,13 +34,15 @@
 		HandlerTable<EdgeCommand, Boolean> handlers = new HandlerTable<EdgeCommand, Boolean>()
 			.on(StartAnswer.class,
 					(command,
-							now) -> done(() -> answers.start(command.request(), command.upstream(), command.status(),
-									command.contentType())))
-			.on(WriteAnswer.class, (command, now) -> done(() -> answers.write(command.request(), command.bytes())))
-			.on(EndAnswer.class, (command, now) -> done(() -> answers.end(command.request())))
-			.on(RefuseCaller.class, (command, now) -> done(() -> answers.refuse(command.request(), command.problem())))
+							now) -> Actions.done(() -> answers.start(command.request(), command.upstream(),
+									command.status(), command.contentType())))
+			.on(WriteAnswer.class,
+					(command, now) -> Actions.done(() -> answers.write(command.request(), command.bytes())))
+			.on(EndAnswer.class, (command, now) -> Actions.done(() -> answers.end(command.request())))
+			.on(RefuseCaller.class,
+					(command, now) -> Actions.done(() -> answers.refuse(command.request(), command.problem())))
 			.on(BreakAnswer.class,
-					(command, now) -> done(() -> answers.breakOff(command.request(), command.problem())));
+					(command, now) -> Actions.done(() -> answers.breakOff(command.request(), command.problem())));
 		this.duty = new Duty<>("delivery", RING_SLOTS, System::nanoTime, handlers::handle);
 	}
 
@@ -58,11 +60,6 @@
 		return this.duty;
 	}
 
-	private static boolean done(Runnable action) {
-		action.run();
-		return true;
-	}
-
 	private void abandon(RequestId request) {
 		this.edge.offer(new CallerGone(request), Urgency.CONTROL);
 		this.duty.offer(
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/EdgeRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/EdgeRouter.java
@@ -53,13 +53,13 @@
 		this.claims = claims;
 		this.routes = new HandlerTable<EdgeCommand, Boolean>().on(SendOrder.class, (command, now) -> order(command))
 			.on(SendClaimOrder.class, (command, now) -> claim(command))
-			.on(WriteAnswer.class, (command, now) -> done(() -> delivery.write(command)))
-			.on(StartAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
-			.on(EndAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
-			.on(RefuseCaller.class, (command, now) -> done(() -> delivery.deliver(command)))
-			.on(BreakAnswer.class, (command, now) -> done(() -> delivery.deliver(command)))
-			.on(CountEdgeEvent.class, (command, now) -> done(() -> metrics.count(command)))
-			.on(EdgeDrained.class, (command, now) -> done(onDrained))
+			.on(WriteAnswer.class, (command, now) -> Actions.done(() -> delivery.write(command)))
+			.on(StartAnswer.class, (command, now) -> Actions.done(() -> delivery.deliver(command)))
+			.on(EndAnswer.class, (command, now) -> Actions.done(() -> delivery.deliver(command)))
+			.on(RefuseCaller.class, (command, now) -> Actions.done(() -> delivery.deliver(command)))
+			.on(BreakAnswer.class, (command, now) -> Actions.done(() -> delivery.deliver(command)))
+			.on(CountEdgeEvent.class, (command, now) -> Actions.done(() -> metrics.count(command)))
+			.on(EdgeDrained.class, (command, now) -> Actions.done(onDrained))
 			.covering(EdgeCommand.class);
 	}
 
@@ -96,9 +96,4 @@
 		return taken;
 	}
 
-	private static boolean done(Runnable action) {
-		action.run();
-		return true;
-	}
-
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/HolderRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/HolderRouter.java
@@ -51,13 +51,13 @@
 		this.peers = peers;
 		this.board = board;
 		this.routes = new HandlerTable<HolderCommand, Boolean>()
-			.on(CallUpstream.class, (command, now) -> done(() -> upstreams.call(command)))
-			.on(AbortCall.class, (command, now) -> done(() -> upstreams.abort(command)))
-			.on(PollLoad.class, (command, now) -> done(() -> upstreams.poll(command)))
+			.on(CallUpstream.class, (command, now) -> Actions.done(() -> upstreams.call(command)))
+			.on(AbortCall.class, (command, now) -> Actions.done(() -> upstreams.abort(command)))
+			.on(PollLoad.class, (command, now) -> Actions.done(() -> upstreams.poll(command)))
 			.on(SendSignal.class, (command, now) -> signal(command))
 			.on(PublishDigests.class, (command, now) -> publish(command.digests()))
-			.on(CountHolderEvent.class, (command, now) -> done(() -> metrics.count(command)))
-			.on(HolderDrained.class, (command, now) -> done(onDrained))
+			.on(CountHolderEvent.class, (command, now) -> Actions.done(() -> metrics.count(command)))
+			.on(HolderDrained.class, (command, now) -> Actions.done(onDrained))
 			.covering(HolderCommand.class);
 	}
 
@@ -92,9 +92,4 @@
 		return true;
 	}
 
-	private static boolean done(Runnable action) {
-		action.run();
-		return true;
-	}
-
 }
