Count as read to the end only a page that brings no new offset

Cause: found by reading. A reader of claims took a page without claims for the end of the stream. Records that cannot be decoded are skipped, so such a page can stand before others. A late reader of a log that has forgotten the first claim could then grant a claim that had lost, before it read the refresh that says so: a second run.

Change: the end is reached when the next offset is the one asked for.

Ruled out: a mark of the log service itself, which its protocol does not have.

Before: the new rows with 1 and 2 unreadable records answer GRANTED.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/claim/ClaimDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/claim/ClaimDecider.java
@@ -126,7 +126,7 @@
 		}
 		event.records().forEach((placed) -> apply(placed, nowNanos));
 		this.nextOffset = event.nextOffset();
-		this.caughtUp = this.caughtUp || event.records().isEmpty();
+		this.caughtUp = this.caughtUp || event.nextOffset() == event.fromOffset();
 		return proceed(nowNanos);
 	}
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/claim/ClaimRetentionTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/claim/ClaimRetentionTests.java
@@ -96,6 +96,22 @@
 		return Stream.of(0, 1, 2);
 	}
 
+	@ParameterizedTest(name = "{0} unreadable records")
+	@MethodSource("forgotten")
+	void areNeverGrantedToTheLoserBehindUnreadableRecords(int unreadable) {
+		this.log.append(List.of(new ClaimTaken(KEY, "d", FIRST)));
+		for (int record = 0; record < unreadable; record++) {
+			this.log.append(List.of());
+		}
+		this.log.append(List.of(new ClaimTaken(KEY, "d", OTHER)));
+		this.log.append(List.of(new ClaimRefreshed(KEY, "d", FIRST, Optional.empty(), 2 + unreadable)));
+		this.log.forgetUpTo(1);
+		ClaimDecider late = new ClaimDecider(100);
+		drive(late, new ClaimOrderReceived("edge", new AskClaim(OTHER, KEY, "d", REFRESH_NANOS)), 1);
+		drive(late, new ClaimTick(), PATIENCE_NANOS);
+		assertThat(this.outcomes).containsExactly(ClaimOutcome.HELD);
+	}
+
 	@ParameterizedTest(name = "{0} releases")
 	@MethodSource("forgotten")
 	void areTakenAgainAfterLosingToOneThatWasReleased(int releases) {
