Read long prompts on idle engines only, and hold them while they would harm

Ruled out: too few engines; the sum of reading times is 30% of the engines' time. Change: a pause is a fault only if the engine sent nothing to anybody for 1.2 s; parts go to engines without a backlog; a prompt that would harm running streams waits while it still has time; short prompts fill engines in order, up to the last slot but one.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -29,6 +29,17 @@
 
 	private static final long PAUSE_FACTOR = 4;
 
+	/**
+	 * How much longer an answer of a busy engine is awaited at a time, in milliseconds.
+	 */
+	private static final long EXTENSION_MILLIS = 300;
+
+	/**
+	 * How often an attempt is given more time; an engine may also hang on one request
+	 * alone.
+	 */
+	private static final int MAX_EXTENSIONS = 8;
+
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	private final ForwardState state;
@@ -41,6 +52,7 @@
 	}
 
 	void answered(Forwarding forwarding, AnswerHead head, long nowNanos, List<ForwardCommand> commands) {
+		forwarding.plan().first().heard(nowNanos);
 		if (head.verdict() == AnswerVerdict.NOT_RUN || head.verdict() == AnswerVerdict.WRONG_INSTANCE) {
 			notRun(forwarding, head, nowNanos, commands);
 		}
@@ -65,6 +77,7 @@
 	}
 
 	void continued(Forwarding forwarding, Payload bytes, long nowNanos, List<ForwardCommand> commands) {
+		forwarding.plan().first().heard(nowNanos);
 		forwarding.stage(ForwardStage.ANSWERING, pause(forwarding, nowNanos));
 		forwarding.relay().receive(bytes, commands);
 	}
@@ -97,6 +110,10 @@
 		if (forwarding.stage() == ForwardStage.RESERVING) {
 			retryOrFail(forwarding, "the memory was not reserved in time", false, nowNanos, commands);
 		}
+		else if (forwarding.service().engine().isPresent() && forwarding.plan().first().alive(nowNanos)
+				&& forwarding.extend(MAX_EXTENSIONS)) {
+			forwarding.stage(forwarding.stage(), nowNanos + Millis.toNanos(EXTENSION_MILLIS));
+		}
 		else if (mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasCandidate(forwarding, nowNanos)) {
 			commands.add(new AbortInstance(forwarding.attempt()));
 			broken(forwarding, AttemptFault.TIMED_OUT, "nothing came in time", nowNanos, commands);
@@ -152,7 +169,8 @@
 			List<ForwardCommand> commands) {
 		this.dispatcher.withdraw(forwarding, nowNanos, commands);
 		commands.add(note("failed-attempt", forwarding, detail, nowNanos));
-		if (mayRetry(forwarding, arrived, nowNanos) && this.dispatcher.dispatch(forwarding, nowNanos, commands)) {
+		if (mayRetry(forwarding, arrived, nowNanos)
+				&& this.dispatcher.dispatch(forwarding, nowNanos, commands) != DispatchResult.NO_INSTANCE) {
 			if (arrived) {
 				this.state.budget().retry(forwarding.service().name(), nowNanos);
 			}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -54,14 +54,18 @@
 	 * @param forwarding the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @param commands receives what follows
-	 * @return false if no instance can take it
+	 * @return what became of it
 	 */
-	boolean dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+	DispatchResult dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		Optional<PlacementPlan> found = plan(forwarding, nowNanos);
 		if (found.isEmpty()) {
-			return false;
+			return DispatchResult.NO_INSTANCE;
 		}
 		PlacementPlan plan = found.get();
+		if (HoldRule.holds(forwarding, plan, nowNanos)) {
+			forwarding.hold();
+			return DispatchResult.HELD;
+		}
 		AttemptId attempt = forwarding.nextAttempt();
 		List<LoadEntry> load = load(forwarding, plan, attempt, nowNanos);
 		forwarding.begin(plan, load);
@@ -75,7 +79,7 @@
 		else {
 			send(forwarding, nowNanos, commands);
 		}
-		return true;
+		return DispatchResult.PLACED;
 	}
 
 	/**
@@ -129,7 +133,8 @@
 		long usual = forwarding.service().engine().map((model) -> model.usualAnswerTokens()).orElse(0L);
 		long expected = Math.min(Math.max(1, tokens.maxAnswerTokens()),
 				forwarding.request().answerTokensHint().orElse(usual));
-		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected);
+		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected,
+				forwarding.elapsedMillis(nowNanos));
 		InstancePlacement placement = engine ? EnginePlacement::place : ServicePlacement::place;
 		return placement.place(query,
 				this.state.fleet().candidates(forwarding.service(), forwarding.excluded(), nowNanos), nowNanos);
@@ -138,9 +143,7 @@
 	private List<LoadEntry> load(Forwarding forwarding, PlacementPlan plan, AttemptId attempt, long nowNanos) {
 		long remainingMillis = forwarding.remainingMillis(nowNanos);
 		long gapMillis = (forwarding.route().kind() == RouteKind.STREAM) ? forwarding.route().targetGapMillis() : 0;
-		double worth = new PlacementQuery(forwarding.route(), Optional.empty(),
-				forwarding.request().tokens().orElse(NO_TOKENS), 0)
-			.worth();
+		double worth = PlacementQuery.worth(forwarding.request().tokens().orElse(NO_TOKENS).promptTokens());
 		List<LoadEntry> load = new ArrayList<>();
 		load.add(new LoadEntry(attempt.toString(), plan.first().instance().id(), plan.firstTokens(), plan.partMillis(),
 				gapMillis, worth, remainingMillis));
@@ -171,8 +174,8 @@
 		if (forwarding.service().engine().isEmpty()) {
 			return after(nowNanos, PLAIN_PATIENCE_MILLIS);
 		}
-		return after(nowNanos, Math.max(ENGINE_PATIENCE_MILLIS,
-				Math.round(ENGINE_PATIENCE_FACTOR * forwarding.plan().firstTokenMillis())));
+		return after(nowNanos,
+				ENGINE_PATIENCE_MILLIS + Math.round(ENGINE_PATIENCE_FACTOR * forwarding.plan().firstTokenMillis()));
 	}
 
 	private static NoteDecision note(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
@@ -24,6 +24,15 @@
 	 */
 	private static final int MAX_HELPERS = 16;
 
+	/**
+	 * Engines with a longer backlog do not take parts, so that long prompts do not wait
+	 * for each other, in milliseconds.
+	 */
+	private static final double IDLE_BACKLOG_MILLIS = 40;
+
+	/** The cost of the last free slot, which another daemon may take at the same time. */
+	private static final double LAST_SLOT_COST = 0.3;
+
 	/** The part of the target after which an answer is planned as late, for variance. */
 	private static final double TARGET_SHARE = 0.9;
 
@@ -36,7 +45,7 @@
 	/**
 	 * What a place in the list costs short prompts, to fill engines one after the other.
 	 */
-	private static final double ORDER_COST = 0.15;
+	private static final double ORDER_COST = 0.6;
 
 	/** What a full batch costs, as it slows every stream in it. */
 	private static final double CROWD_COST = 0.5;
@@ -70,12 +79,16 @@
 		}
 		EngineModel engine = query.engine().orElseThrow();
 		double wholeMillis = engine.readMillis(query.tokens().promptTokens());
-		if (wholeMillis <= WHOLE_READ_MILLIS) {
+		if (readWhole(engine, query.tokens().promptTokens())) {
 			return Optional.of(whole(query, engine, candidates, nowNanos));
 		}
 		return Optional.of(parts(query, engine, wholeMillis, candidates, nowNanos));
 	}
 
+	static boolean readWhole(EngineModel engine, long promptTokens) {
+		return engine.readMillis(promptTokens) <= WHOLE_READ_MILLIS;
+	}
+
 	private static PlacementPlan whole(PlacementQuery query, EngineModel engine, List<InstanceLoad> candidates,
 			long nowNanos) {
 		double readMillis = engine.readMillis(query.tokens().promptTokens());
@@ -92,30 +105,36 @@
 			}
 		}
 		double firstMillis = best.backlogMillis(nowNanos) + readMillis + engine.passMillis() + TRANSFER_MILLIS;
-		return new PlacementPlan(best, List.of(), firstMillis, Math.round(readMillis), query.memoryTokens());
+		return new PlacementPlan(best, List.of(), firstMillis, Math.round(readMillis), query.memoryTokens(), 0);
 	}
 
 	private static PlacementPlan parts(PlacementQuery query, EngineModel engine, double wholeMillis,
 			List<InstanceLoad> candidates, long nowNanos) {
+		List<InstanceLoad> idle = candidates.stream()
+			.filter((load) -> load.backlogMillis(nowNanos) <= IDLE_BACKLOG_MILLIS)
+			.toList();
+		List<InstanceLoad> readers = idle.isEmpty() ? candidates : idle;
 		PlacementPlan best = null;
 		double bestCost = Double.MAX_VALUE;
-		int most = Math.min(candidates.size(), MAX_HELPERS + 1);
+		int most = Math.min(readers.size(), MAX_HELPERS + 1);
+		SpareEngines spare = SpareEngines.of(engine, candidates, nowNanos);
 		for (int count = 1; count <= most; count++) {
 			double partMillis = wholeMillis / count;
-			List<InstanceLoad> chosen = cheapest(engine, partMillis, candidates, count, nowNanos);
-			double cost = HELPER_COST * (count - 1);
+			List<InstanceLoad> chosen = cheapest(engine, partMillis, readers, count, nowNanos);
+			double harm = spare.cost(count, partMillis);
 			double backlogMillis = 0;
 			for (InstanceLoad load : chosen) {
-				cost += load.harm(partMillis, engine.passMillis(), nowNanos);
+				harm += load.harm(partMillis, engine.passMillis(), nowNanos);
 				backlogMillis = Math.max(backlogMillis, load.backlogMillis(nowNanos));
 			}
 			double firstMillis = backlogMillis + partMillis + engine.passMillis() + TRANSFER_MILLIS;
 			InstanceLoad first = roomiest(engine, chosen);
-			cost += lateCost(query, firstMillis) + ownGapCost(query, engine, partMillis)
+			double cost = HELPER_COST * (count - 1) + harm + lateCost(query, firstMillis)
+					+ ownGapCost(query, engine, partMillis)
 					+ crowdCost(query, engine, first, memoryOnFirst(query, engine, count));
 			if (cost < bestCost) {
 				bestCost = cost;
-				best = plan(query, engine, first, chosen, firstMillis, partMillis);
+				best = plan(query, engine, first, chosen, firstMillis, partMillis, harm);
 			}
 		}
 		return best;
@@ -147,7 +166,7 @@
 	}
 
 	private static PlacementPlan plan(PlacementQuery query, EngineModel engine, InstanceLoad first,
-			List<InstanceLoad> chosen, double firstMillis, double partMillis) {
+			List<InstanceLoad> chosen, double firstMillis, double partMillis, double harm) {
 		List<PlannedHelper> helpers = new ArrayList<>();
 		long partTokens = query.tokens().promptTokens() / chosen.size();
 		long firstTokens = query.memoryTokens();
@@ -159,15 +178,16 @@
 				helpers.add(new PlannedHelper(load, ticketTokens));
 			}
 		}
-		return new PlacementPlan(first, helpers, firstMillis, Math.round(partMillis), firstTokens);
+		return new PlacementPlan(first, helpers, firstMillis, Math.round(partMillis), firstTokens, harm);
 	}
 
 	private static long room(EngineModel engine, InstanceLoad load) {
 		return Math.max(0, (long) (MEMORY_SHARE * engine.memoryTokens()) - load.usedTokens());
 	}
 
-	private static double lateCost(PlacementQuery query, double firstMillis) {
+	private static double lateCost(PlacementQuery query, double sinceNowMillis) {
 		double target = Math.max(1, query.route().targetLatencyMillis());
+		double firstMillis = query.elapsedMillis() + sinceNowMillis;
 		double late = (firstMillis > TARGET_SHARE * target) ? LATE_LOSS * query.worth() : 0;
 		return late + WAIT_COST * query.worth() * firstMillis / target;
 	}
@@ -175,6 +195,9 @@
 	private static double crowdCost(PlacementQuery query, EngineModel engine, InstanceLoad load, long memoryTokens) {
 		double share = load.writers() / (double) Math.max(1, engine.slots());
 		double cost = CROWD_COST * share * share * share * share;
+		if (load.writers() == engine.slots() - 1) {
+			cost += LAST_SLOT_COST * query.worth();
+		}
 		if (load.writers() >= engine.slots()) {
 			cost += NO_SLOT_COST * query.worth();
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -121,7 +121,7 @@
 			Forwarding forwarding = this.admission.admit(request, nowNanos);
 			this.state.add(forwarding);
 			this.state.budget().request(forwarding.service().name(), nowNanos);
-			if (!this.dispatcher.dispatch(forwarding, nowNanos, commands)) {
+			if (this.dispatcher.dispatch(forwarding, nowNanos, commands) == DispatchResult.NO_INSTANCE) {
 				this.attempts.noInstance(forwarding, nowNanos, commands);
 			}
 		}
@@ -163,6 +163,11 @@
 			if (forwarding.remainingMillis(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
 				this.attempts.expired(forwarding, nowNanos, commands);
 			}
+			else if (forwarding.stage() == ForwardStage.HELD) {
+				if (this.dispatcher.dispatch(forwarding, nowNanos, commands) == DispatchResult.NO_INSTANCE) {
+					this.attempts.noInstance(forwarding, nowNanos, commands);
+				}
+			}
 			else if (forwarding.overdue(nowNanos)) {
 				this.attempts.overdue(forwarding, nowNanos, commands);
 			}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardStage.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardStage.java
@@ -5,6 +5,9 @@
  */
 enum ForwardStage {
 
+	/** No instance is free enough; the request waits in this daemon. */
+	HELD,
+
 	/** Memory is being reserved. */
 	RESERVING,
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -46,6 +46,8 @@
 
 	private int runs;
 
+	private int extensions;
+
 	Forwarding(ForwardRequest request, Route route, ServiceLimits service, String workspace, long nowNanos) {
 		this.request = request;
 		this.route = route;
@@ -59,6 +61,7 @@
 
 	AttemptId begin(PlacementPlan newPlan, List<LoadEntry> newLoad) {
 		this.attempts++;
+		this.extensions = 0;
 		this.attempt = new AttemptId(this.request.id(), this.attempts);
 		this.plan = newPlan;
 		this.load = newLoad;
@@ -69,11 +72,31 @@
 		return new AttemptId(this.request.id(), this.attempts + 1);
 	}
 
+	/**
+	 * Waits without an attempt.
+	 */
+	void hold() {
+		this.attempt = null;
+		this.load = List.of();
+		this.stage = ForwardStage.HELD;
+		this.progressNanos = Long.MAX_VALUE;
+	}
+
 	void stage(ForwardStage newStage, long newProgressNanos) {
 		this.stage = newStage;
 		this.progressNanos = newProgressNanos;
 	}
 
+	/**
+	 * Gives the current attempt more time, unless it was given enough.
+	 * @param most how often it may be given more time
+	 * @return true if it has more time
+	 */
+	boolean extend(int most) {
+		this.extensions++;
+		return this.extensions <= most;
+	}
+
 	void exclude(String instance) {
 		this.excluded.add(instance);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -34,6 +34,12 @@
 	/** What reading costs a stream that still bears it, as a part of its worth. */
 	private static final double PAUSE_COST = 0.05;
 
+	/**
+	 * How long an instance counts as alive after it sent a part of any answer, in
+	 * milliseconds.
+	 */
+	private static final long ALIVE_MILLIS = 1_200;
+
 	private final Map<String, PlacedLoad> placed = new LinkedHashMap<>();
 
 	private final Deque<Long> sentNanos = new ArrayDeque<>();
@@ -46,12 +52,15 @@
 
 	private long avoidUntilNanos;
 
+	private long heardNanos;
+
 	private int failures;
 
 	InstanceLoad(UpstreamInstance instance, long nowNanos) {
 		this.readUntilNanos = nowNanos;
 		this.avoidUntilNanos = nowNanos;
 		this.coldUntilNanos = nowNanos;
+		this.heardNanos = nowNanos - Millis.toNanos(ALIVE_MILLIS);
 		update(instance, nowNanos);
 	}
 
@@ -129,6 +138,20 @@
 		return loss;
 	}
 
+	void heard(long nowNanos) {
+		this.heardNanos = nowNanos;
+	}
+
+	/**
+	 * Tells whether the instance sent a part of any answer lately, or is still reading.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if a pause is no sign of a fault
+	 */
+	boolean alive(long nowNanos) {
+		return nowNanos - Math.max(this.heardNanos, Math.min(nowNanos, this.readUntilNanos)) < Millis
+			.toNanos(ALIVE_MILLIS);
+	}
+
 	void failed(long nowNanos) {
 		long nanos = AVOID_NANOS << Math.min(this.failures, MAX_DOUBLINGS);
 		this.failures++;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
@@ -10,9 +10,10 @@
  * @param firstTokenMillis the predicted time to the first byte, in milliseconds
  * @param partMillis the time that each instance reads, in milliseconds
  * @param firstTokens the memory on the first instance, in tokens
+ * @param harm the worth that other requests lose by it
  */
 record PlacementPlan(InstanceLoad first, List<PlannedHelper> helpers, double firstTokenMillis, long partMillis,
-		long firstTokens) {
+		long firstTokens, double harm) {
 
 	boolean reserves() {
 		return this.helpers.stream().anyMatch((helper) -> helper.ticketTokens() > 0);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
@@ -13,8 +13,10 @@
  * @param engine the figures of the engine, empty for a plain service
  * @param tokens what it asks of an engine
  * @param answerTokens the expected length of the answer, in tokens
+ * @param elapsedMillis how long the request has waited, in milliseconds
  */
-record PlacementQuery(Route route, Optional<EngineModel> engine, TokenCounts tokens, long answerTokens) {
+record PlacementQuery(Route route, Optional<EngineModel> engine, TokenCounts tokens, long answerTokens,
+		long elapsedMillis) {
 
 	/** What a stream is worth besides its length, from the published price lists. */
 	private static final double BASE_WORTH = 0.8;
@@ -27,7 +29,11 @@
 	 * @return the worth
 	 */
 	double worth() {
-		return BASE_WORTH + this.tokens.promptTokens() / TOKENS_PER_WORTH;
+		return worth(this.tokens.promptTokens());
+	}
+
+	static double worth(long promptTokens) {
+		return BASE_WORTH + promptTokens / TOKENS_PER_WORTH;
 	}
 
 	/**
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ServicePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ServicePlacement.java
@@ -20,7 +20,7 @@
 	static Optional<PlacementPlan> place(PlacementQuery query, List<InstanceLoad> candidates, long nowNanos) {
 		return candidates.stream()
 			.min(Comparator.comparingDouble((load) -> share(load, 1)))
-			.map((load) -> new PlacementPlan(load, List.of(), USUAL_MILLIS * Math.max(1, share(load, 1)), 0, 0));
+			.map((load) -> new PlacementPlan(load, List.of(), USUAL_MILLIS * Math.max(1, share(load, 1)), 0, 0, 0));
 	}
 
 	private static double share(InstanceLoad load, int added) {
