--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -61,7 +61,7 @@
 			broken(forwarding, AttemptFault.BROKEN, "the answer belongs to another attempt", nowNanos, commands);
 		}
 		else if (head.status() >= FIRST_SERVER_ERROR && forwarding.route().repeatable()
-				&& mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasCandidate(forwarding, nowNanos)) {
+				&& mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasOther(forwarding, nowNanos)) {
 			commands.add(new AbortInstance(forwarding.attempt()));
 			forwarding.plan().first().failed(nowNanos);
 			retryOrFail(forwarding, "status " + head.status(), true, nowNanos, commands);
@@ -106,6 +106,22 @@
 		retryOrFail(forwarding, detail, fault != AttemptFault.NOT_SENT, nowNanos, commands);
 	}
 
+	/**
+	 * Sends a request whose memory is reserved, unless its instance was taken out
+	 * meanwhile.
+	 * @param forwarding the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @param commands receives what follows
+	 */
+	void reserved(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+		if (this.state.fleet().open(forwarding.plan().first())) {
+			this.dispatcher.send(forwarding, nowNanos, commands);
+		}
+		else {
+			retryOrFail(forwarding, "the instance was taken out", false, nowNanos, commands);
+		}
+	}
+
 	void overdue(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		if (forwarding.stage() == ForwardStage.RESERVING) {
 			retryOrFail(forwarding, "the memory was not reserved in time", false, nowNanos, commands);
@@ -114,7 +130,7 @@
 				&& forwarding.extend(MAX_EXTENSIONS)) {
 			forwarding.stage(forwarding.stage(), nowNanos + Millis.toNanos(EXTENSION_MILLIS));
 		}
-		else if (mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasCandidate(forwarding, nowNanos)) {
+		else if (mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasOther(forwarding, nowNanos)) {
 			commands.add(new AbortInstance(forwarding.attempt()));
 			broken(forwarding, AttemptFault.TIMED_OUT, "nothing came in time", nowNanos, commands);
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -83,13 +83,17 @@
 	}
 
 	/**
-	 * Tells whether another attempt would find an instance.
+	 * Tells whether another attempt would find another instance than the current one.
 	 * @param forwarding the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @return true if it would
 	 */
-	boolean hasCandidate(Forwarding forwarding, long nowNanos) {
-		return !this.state.fleet().candidates(forwarding.service(), forwarding.excluded(), nowNanos).isEmpty();
+	boolean hasOther(Forwarding forwarding, long nowNanos) {
+		InstanceLoad current = forwarding.plan().first();
+		return this.state.fleet()
+			.candidates(forwarding.service(), forwarding.excluded(), nowNanos)
+			.stream()
+			.anyMatch((load) -> load != current);
 	}
 
 	void send(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -151,7 +151,7 @@
 					this.attempts.overdue(forwarding, nowNanos, commands);
 				}
 				else if (this.state.tickets().allHeld(event.ticket().attempt())) {
-					this.dispatcher.send(forwarding, nowNanos, commands);
+					this.attempts.reserved(forwarding, nowNanos, commands);
 				}
 			});
 		return commands;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -74,8 +74,7 @@
 		double coldShare = service.coldPerSecond() / this.daemons;
 		for (InstanceLoad load : this.instances.values()) {
 			UpstreamInstance instance = load.instance();
-			if (!instance.service().equals(service.name()) || instance.draining() || excluded.contains(instance.id())
-					|| this.evacuated.contains(instance.failureDomain())
+			if (!instance.service().equals(service.name()) || !open(load) || excluded.contains(instance.id())
 					|| (service.coldPerSecond() > 0 && load.coldLimitReached(coldShare, nowNanos))) {
 				continue;
 			}
@@ -86,6 +85,17 @@
 		return chosen;
 	}
 
+	/**
+	 * Tells whether an instance is registered and takes new work.
+	 * @param load the instance
+	 * @return true if it does
+	 */
+	boolean open(InstanceLoad load) {
+		UpstreamInstance instance = load.instance();
+		return this.instances.get(instance.id()) == load && !instance.draining()
+				&& !this.evacuated.contains(instance.failureDomain());
+	}
+
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/EnginePlacementTests.java
@@ -0,0 +1,122 @@
+package org.rattanhead.decision.forward;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.forward.AnswerVerdict;
+import org.rattanhead.core.forward.ForwardCall;
+import org.rattanhead.core.forward.LoadEntry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Where prompts of each length go.
+ */
+class EnginePlacementTests {
+
+	@ParameterizedTest(name = "{0} tokens: {1} to {2} ms")
+	@CsvSource({ "5000, 34, 35", "45000, 455, 457", "182000, 3_860, 3_870" })
+	void computesReadingFromThePublishedFigures(String tokens, String least, String most) {
+		assertThat(ForwardRig.ENGINE.readMillis(Long.parseLong(tokens)))
+			.isBetween(Double.parseDouble(least.replace("_", "")), Double.parseDouble(most.replace("_", "")));
+	}
+
+	@ParameterizedTest(name = "{0} tokens: {1} to {2} helpers")
+	@CsvSource({ "5000, 0, 0", "20000, 0, 0", "45000, 1, 6", "182000, 5, 15", "350000, 8, 15" })
+	void readsLongPromptsInParts(long tokens, int least, int most) {
+		ForwardRig rig = ForwardRig.configured(16, 0);
+		rig.submit((tokens > 25_000) ? "/long/" : "/ask/", tokens, ForwardRig.KEY, 1);
+		assertThat(rig.lastCall().call().helpers().size()).isBetween(least, most);
+	}
+
+	@ParameterizedTest(name = "{0} prompts")
+	@ValueSource(ints = { 20, 60 })
+	void packsShortPromptsAndLeavesEnginesFree(int prompts) {
+		ForwardRig rig = ForwardRig.configured(16, 0);
+		for (int prompt = 0; prompt < prompts; prompt++) {
+			rig.submit("/ask/", 3_000, ForwardRig.KEY, prompt);
+			rig.pass(40);
+		}
+		long used = rig.all(CallInstance.class).stream().map((call) -> call.call().instance().id()).distinct().count();
+		assertThat(used).isBetween((long) prompts / 11, (long) prompts / 11 + 4);
+	}
+
+	@ParameterizedTest(name = "{0} tokens")
+	@ValueSource(longs = { 182_000, 300_000 })
+	void keepsALongPromptAwayFromShortStreams(long tokens) {
+		ForwardRig rig = ForwardRig.configured(16, 0);
+		for (int prompt = 0; prompt < 30; prompt++) {
+			rig.submit("/ask/", 3_000, ForwardRig.KEY, prompt);
+			rig.pass(20);
+		}
+		List<String> busy = rig.all(CallInstance.class)
+			.stream()
+			.map((call) -> call.call().instance().address())
+			.distinct()
+			.toList();
+		rig.submit((tokens > 25_000) ? "/long/" : "/ask/", tokens, ForwardRig.KEY, 99);
+		rig.pass(1_000);
+		ForwardCall call = rig.lastCall().call();
+		assertThat(call.helpers()).isNotEmpty()
+			.allSatisfy((helper) -> assertThat(busy).doesNotContain(helper.address()));
+		assertThat(busy).doesNotContain(call.instance().address());
+	}
+
+	@ParameterizedTest(name = "{0} engines in use")
+	@ValueSource(ints = { 4 })
+	void holdsALongPromptWhileEveryEngineWrites(int engines) {
+		ForwardRig rig = ForwardRig.configured(engines, 0);
+		List<LoadEntry> load = IntStream.range(0, engines * 6)
+			.mapToObj((index) -> new LoadEntry("p" + index, "e" + index % engines, 6_000, 0, 250, 1.4, 5_000))
+			.toList();
+		rig.handle(new PeerLoadStarted("peer", load));
+		rig.submit("/long/", 182_000, ForwardRig.KEY, 1);
+		assertThat(rig.all(CallInstance.class)).isEmpty();
+		rig.handle(new PeerLoadEnded("peer", load.stream().map(LoadEntry::key).toList()));
+		rig.pass(20);
+		assertThat(rig.all(CallInstance.class)).hasSize(1);
+	}
+
+	@ParameterizedTest(name = "{0} tokens")
+	@ValueSource(longs = { 500_000, 900_000 })
+	void reservesMemoryForWhatExceedsOneEngine(long tokens) {
+		ForwardRig rig = ForwardRig.configured(16, 0);
+		rig.submit((tokens > 25_000) ? "/long/" : "/ask/", tokens, ForwardRig.KEY, 1);
+		List<ReserveTicket> reserved = rig.all(ReserveTicket.class);
+		assertThat(reserved).isNotEmpty();
+		assertThat(rig.all(CallInstance.class)).as("nothing is sent before the memory is granted").isEmpty();
+		reserved.forEach((order) -> rig.handle(new TicketReplied(order.ticket(), TicketOutcome.GRANTED)));
+		ForwardCall call = rig.lastCall().call();
+		long held = reserved.stream().mapToLong((order) -> order.ticket().tokens()).sum();
+		assertThat(tokens + 1_266 - held).isLessThanOrEqualTo(ForwardRig.ENGINE.memoryTokens());
+		assertThat(call.helpers().stream().filter((helper) -> !helper.ticket().isEmpty())).hasSameSizeAs(reserved);
+		rig.answer(call.attempt(), 200, AnswerVerdict.RUN, true);
+		rig.bytes(call.attempt(), "id: 1\ndata: a\n\n");
+		rig.finish(call.attempt());
+		assertThat(rig.all(ReleaseTicket.class)).hasSameSizeAs(reserved);
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(booleans = { true, false })
+	void releasesWhatWasGrantedIfOneEngineRefuses(boolean late) {
+		ForwardRig rig = ForwardRig.configured(16, 0);
+		rig.submit("/long/", 700_000, ForwardRig.KEY, 1);
+		List<ReserveTicket> first = rig.all(ReserveTicket.class);
+		Ticket granted = first.get(0).ticket();
+		Ticket refused = first.get(1).ticket();
+		if (!late) {
+			rig.handle(new TicketReplied(granted, TicketOutcome.GRANTED));
+		}
+		rig.handle(new TicketReplied(refused, TicketOutcome.REFUSED));
+		if (late) {
+			rig.handle(new TicketReplied(granted, TicketOutcome.GRANTED));
+		}
+		assertThat(rig.all(ReleaseTicket.class)).extracting(ReleaseTicket::ticket).contains(granted);
+		assertThat(rig.all(ReserveTicket.class)).as("other engines are asked").hasSizeGreaterThan(first.size());
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardOracle.java
@@ -0,0 +1,110 @@
+package org.rattanhead.decision.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.rattanhead.core.forward.RouteKind;
+import org.rattanhead.core.problem.Execution;
+import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.core.request.RequestId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A simple account of what instances may have run and what callers were told, against
+ * which a decider's commands are checked as they come.
+ */
+final class ForwardOracle {
+
+	private final Map<RequestId, RouteKind> kinds = new HashMap<>();
+
+	private final Map<RequestId, Integer> mayHaveRun = new HashMap<>();
+
+	private final Set<RequestId> ended = new HashSet<>();
+
+	private final Set<String> reserved = new HashSet<>();
+
+	private Set<String> closedInstances = Set.of();
+
+	private int retries;
+
+	void submitted(RequestId id, RouteKind kind) {
+		this.kinds.put(id, kind);
+	}
+
+	void closed(Set<String> instances) {
+		this.closedInstances = instances;
+	}
+
+	void refused(Ticket ticket) {
+		this.reserved.remove(ticket.name());
+	}
+
+	void didNotRun(AttemptId attempt) {
+		this.mayHaveRun.merge(attempt.request(), -1, Integer::sum);
+	}
+
+	void check(ForwardCommand command) {
+		if (command instanceof CallInstance call) {
+			called(call);
+		}
+		else if (command instanceof RefuseRequest refusal) {
+			ended(refusal.request());
+			if (refusal.problem().execution() == Execution.NOT_RUN) {
+				assertThat(this.mayHaveRun.getOrDefault(refusal.request(), 0))
+					.as("a refusal as not run of %s", refusal.request())
+					.isZero();
+			}
+		}
+		else if (command instanceof FinishReply finish) {
+			ended(finish.request());
+		}
+		else if (command instanceof BreakReply broken) {
+			ended(broken.request());
+		}
+		else if (command instanceof ReserveTicket reserve) {
+			this.reserved.add(reserve.ticket().name());
+		}
+		else if (command instanceof ReleaseTicket release) {
+			this.reserved.remove(release.ticket().name());
+		}
+	}
+
+	Set<String> reserved() {
+		return this.reserved;
+	}
+
+	Set<RequestId> open() {
+		Set<RequestId> open = new HashSet<>(this.kinds.keySet());
+		open.removeAll(this.ended);
+		return open;
+	}
+
+	int retries() {
+		return this.retries;
+	}
+
+	void abandoned(RequestId id) {
+		this.ended.add(id);
+	}
+
+	private void called(CallInstance call) {
+		RequestId id = call.call().attempt().request();
+		assertThat(this.ended).as("no call for a request that has ended").doesNotContain(id);
+		assertThat(this.closedInstances).as("no call to an instance that is taken out")
+			.doesNotContain(call.call().instance().id());
+		int before = this.mayHaveRun.merge(id, 1, Integer::sum) - 1;
+		this.retries += (call.call().attempt().number() > 1) ? 1 : 0;
+		if (this.kinds.get(id) == RouteKind.AT_MOST_ONCE) {
+			assertThat(before).as("runs of %s before another call", id).isZero();
+		}
+		assertThat(before).as("instances that may have run %s", id).isLessThan(2);
+	}
+
+	private void ended(RequestId id) {
+		assertThat(this.ended.add(id)).as("one end of %s", id).isTrue();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
@@ -0,0 +1,126 @@
+package org.rattanhead.decision.forward;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.rattanhead.core.Millis;
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.forward.Configuration;
+import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.Route;
+import org.rattanhead.core.forward.RouteKind;
+import org.rattanhead.core.forward.ServiceLimits;
+import org.rattanhead.core.forward.UpstreamInstance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The parts of the forwarding decisions, each alone.
+ */
+class ForwardPartsTests {
+
+	@ParameterizedTest(name = "{0}{1} -> {2}")
+	@CsvSource({ "h, /a/b/c, /a/b/", "h, /a/c, /a/", "h, /ab, ''", "h, /x, ''", "g, /a/b/c, ''", "h, /a/b, /a/" })
+	void routesByTheLongestPrefixOfTheHost(String host, String path, String prefix) {
+		List<Route> routes = Stream.of("/a/", "/a/b/", "/b/")
+			.map((text) -> new Route("h", text, RouteKind.STREAM, List.of(), 1, 1, 1, 1, 1, false, false))
+			.toList();
+		RouteTable table = new RouteTable(new Configuration(1, routes, Map.of(), false, Map.of(), 1, 1));
+		assertThat(table.find(host, path).map(Route::pathPrefix).orElse("")).isEqualTo(prefix);
+	}
+
+	@ParameterizedTest(name = "{0} requests, {1} daemons: {2} retries")
+	@CsvSource({ "0, 1, 75", "100, 1, 90", "0, 10, 7", "50, 10, 15" })
+	void boundsRetriesByRequestsAndDaemons(int requests, int daemons, int allowed) {
+		RetryBudget budget = new RetryBudget(new ForwardLimits(0.2, 100, 10_000, 1));
+		budget.daemons(daemons);
+		for (int request = 0; request < requests; request++) {
+			budget.request("s", 0);
+		}
+		int retries = 0;
+		while (budget.allows("s", 0)) {
+			budget.retry("s", 0);
+			retries++;
+		}
+		assertThat(retries).isEqualTo(allowed);
+		assertThat(budget.allows("s", Millis.toNanos(10_001))).as("a new window").isTrue();
+	}
+
+	@ParameterizedTest(name = "own {0}, peers {1} and {2}: {3}")
+	@CsvSource({ "2, 0, 0, false", "3, 0, 0, true", "1, 1, 1, true", "0, 2, 0, false", "0, 2, 1, true" })
+	void countsBreaksOverAllDaemons(int own, int first, int second, boolean blocked) {
+		CrashSuspects suspects = new CrashSuspects();
+		for (int broken = 0; broken < own; broken++) {
+			suspects.broke(7, 0);
+		}
+		suspects.heard("p1", List.of(new CrashReport(7, first), new CrashReport(8, 9)));
+		suspects.heard("p2", List.of(new CrashReport(7, second)));
+		assertThat(suspects.blocked(7)).isEqualTo(blocked);
+	}
+
+	static Stream<Arguments> streams() {
+		return Stream.of(Arguments.of(List.of("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n", "1", false),
+				Arguments.of(List.of("id: 1\nda", "ta: a\n", "\n"), "id: 1\ndata: a\n\n", "1", false),
+				Arguments.of(List.of("id: 1\n\nid: 2\n\nid: 3"), "id: 1\n\nid: 2\n\n", "2", true),
+				Arguments.of(List.of("id: 1\r\n\r\n", "id: 2\r\n"), "id: 1\r\n\r\n", "1", true),
+				Arguments.of(List.of("data: x"), "", "", true), Arguments.of(List.of(), "", "", false));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("streams")
+	void passesOnWholeEventsOnly(List<String> parts, String passed, String lastId, boolean insideEvent) {
+		EventSplitter splitter = new EventSplitter();
+		StringBuilder whole = new StringBuilder();
+		parts.forEach((part) -> splitter.feed(Payload.of(part)).map(Payload::text).ifPresent(whole::append));
+		assertThat(whole).hasToString(passed);
+		assertThat(splitter.lastId().orElse("")).isEqualTo(lastId);
+		assertThat(splitter.insideEvent()).isEqualTo(insideEvent);
+	}
+
+	@ParameterizedTest(name = "{0} daemons, cold for {1} ms: {2} of 30 in one second")
+	@CsvSource({ "1, 3000, 12", "4, 3000, 3", "100, 3000, 1", "1, 0, 30" })
+	void sharesTheColdLimitAmongDaemons(int daemons, long coldMillis, int sent) {
+		UpstreamFleet fleet = new UpstreamFleet();
+		fleet.daemons(daemons);
+		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, coldMillis, 1)), 0);
+		ServiceLimits limits = new ServiceLimits("s", 10, 3_000, 12, Optional.empty());
+		int count = 0;
+		for (int request = 0; request < 30; request++) {
+			List<InstanceLoad> candidates = fleet.candidates(limits, Set.of(), request);
+			candidates.forEach((load) -> load.sent(0));
+			count += candidates.size();
+		}
+		assertThat(count).isEqualTo(sent);
+	}
+
+	@ParameterizedTest(name = "{0} of {1} avoided: {2} candidates")
+	@CsvSource({ "0, 3, 3", "1, 3, 2", "3, 3, 3" })
+	void avoidsFailedInstancesWhileThereAreOthers(int failed, int instances, int candidates) {
+		UpstreamFleet fleet = new UpstreamFleet();
+		fleet.update(ForwardRig.instances(0, instances), 0);
+		for (int index = 0; index < failed; index++) {
+			fleet.find("o" + index).orElseThrow().failed(0);
+		}
+		ServiceLimits limits = new ServiceLimits(ForwardRig.ORDERS, 10, 0, 0, Optional.empty());
+		assertThat(fleet.candidates(limits, Set.of(), 1)).hasSize(candidates);
+	}
+
+	@ParameterizedTest(name = "incarnation {0}: {1} running")
+	@CsvSource({ "1, 1", "2, 0" })
+	void forgetsTheLoadOfAnEarlierLife(long incarnation, int running) {
+		UpstreamFleet fleet = new UpstreamFleet();
+		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, 0, 1)), 0);
+		fleet.place("p", new org.rattanhead.core.forward.LoadEntry("k", "e", 1, 1, 1, 1, 5_000), 0);
+		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, 0, incarnation)), 1);
+		assertThat(fleet.find("e").orElseThrow().running()).isEqualTo(running);
+	}
+
+}
