Notice callers that leave while they wait

Ruled out: late delivery by the network; the log shows 'caller left' at the first write. Change: the front end reads from the connection of a waiting caller; bytes of a next request are handed back. Paths are passed on undecoded (found by the new end-to-end test: /order/a%20b arrived cut).

--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpCaller.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpCaller.java
@@ -102,6 +102,14 @@
 		return future;
 	}
 
+	/**
+	 * Counts the calls that have not ended.
+	 * @return the number
+	 */
+	public int open() {
+		return this.open.size();
+	}
+
 	private void awaitTermination() {
 		try {
 			this.worker.awaitTermination(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -107,6 +107,10 @@
 
 	private final ForwardFrontEnd frontEnd;
 
+	private final HttpCaller caller;
+
+	private final HttpCaller storeCaller;
+
 	private final Ticker ticker;
 
 	/**
@@ -121,9 +125,10 @@
 		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
 		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event,
 				now) -> decider.decide(event, now).forEach((command) -> this.router.join().route(command, now))));
-		HttpCaller caller = own(new HttpCaller("calls", 1));
+		this.caller = own(new HttpCaller("calls", 1));
+		this.storeCaller = own(new HttpCaller("store", 1));
 		MeshDuty mesh = own(new MeshDuty(this.self, settings.meshAddress(), this.board, this.decisions));
-		ForwardCallDuty calls = own(new ForwardCallDuty(caller, new InstanceCodec(), this.decisions));
+		ForwardCallDuty calls = own(new ForwardCallDuty(this.caller, new InstanceCodec(), this.decisions));
 		this.frontEnd = own(
 				new ForwardFrontEnd(settings.host(), callers(), new CallerCodec(), this.decisions, pages()));
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics,
@@ -131,7 +136,7 @@
 		this.ticker = own(new Ticker("ticker"));
 		this.ticker.every(TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(BEAT_MILLIS, () -> this.decisions.offer(new BeatDue(), Urgency.STREAM));
-		follow(new HouseStore(caller, settings.storeAddress()), mesh);
+		follow(new HouseStore(this.storeCaller, settings.storeAddress()), mesh);
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -160,6 +165,14 @@
 		}
 	}
 
+	/**
+	 * Counts the calls to instances that have not ended.
+	 * @return the number
+	 */
+	int inProgress() {
+		return this.caller.open();
+	}
+
 	private void follow(KeyedStore store, MeshDuty mesh) {
 		own(new KeyedFollower(store,
 				new FollowPlan(KeyedStream.OPERATORS, OPERATORS_PERIOD_MILLIS, OPERATORS_WAIT_MILLIS), this.ticker,
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayLogs.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayLogs.java
@@ -32,6 +32,9 @@
 		for (String noisy : new String[] { "io.undertow", "org.xnio", "org.jboss", "io.netty" }) {
 			builder.add(builder.newLogger(noisy, Level.WARN));
 		}
+		// A broken answer is a decision about a request and is logged as such, without a
+		// stack trace.
+		builder.add(builder.newLogger("io.undertow.client", Level.OFF));
 		builder.add(builder.newLogger(DECISIONS, level)
 			.add(builder.newAppenderRef(DECISIONS + "-queue"))
 			.addAttribute("additivity", false));
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayEndToEndTests.java
@@ -0,0 +1,168 @@
+package org.rattanhead.daemon.gateway;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.house.standin.RawAnswer;
+import org.rattanhead.house.standin.RawRequest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A gateway from end to end: what instances receive, and what callers get, when answers
+ * and the store go wrong.
+ */
+class GatewayEndToEndTests {
+
+	@ParameterizedTest(name = "{0} {1}")
+	@CsvSource({ "GET, /look/a?b=1, ''", "POST, /order/a%20b, body", "POST, /look/a, body" })
+	void forwardsARequestAndItsAnswerUnchanged(String method, String path, String body) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "the answer"))) {
+			String answer = rig.call(RawCaller.request(method, path, "a1", body, "X-Tenant: forged", "X-Own: 1"));
+			assertThat(answer).startsWith("HTTP/1.1 200").contains("X-Response-Signature: s").endsWith("the answer");
+			RawRequest arrived = rig.arrivals().get(0);
+			assertThat(arrived.method() + " " + arrived.target()).isEqualTo(method + " " + path);
+			assertThat(new String(arrived.body())).isEqualTo(body);
+			assertThat(arrived.header("X-Tenant")).isEqualTo("atelier");
+			assertThat(arrived.header("X-Own")).isEqualTo("1");
+			assertThat(arrived.header("Authorization")).isEmpty();
+			assertThat(arrived.header("X-Expect-Instance")).isEqualTo("i-0");
+			assertThat(Integer.parseInt(arrived.header("X-Deadline-Remaining-Ms"))).isBetween(3_000, 4_000);
+		}
+	}
+
+	static Stream<Arguments> wrongAnswers() {
+		Function<RawRequest, RawAnswer> whole = (request) -> GatewayRig.signed(request, "x".repeat(100));
+		return Stream.of(
+				Arguments.of("torn", (Function<RawRequest, RawAnswer>) (request) -> whole.apply(request).torn(9)),
+				Arguments.of("none", (Function<RawRequest, RawAnswer>) (request) -> RawAnswer.none()),
+				Arguments.of("garbage",
+						(Function<RawRequest, RawAnswer>) (request) -> new RawAnswer("no answer\r\n\r\n".getBytes(),
+								true, 0)),
+				Arguments.of("crossed",
+						(Function<RawRequest, RawAnswer>) (request) -> RawAnswer.of(200,
+								List.of("X-Attempt-Id: other", "X-Response-Signature: s"), "of another")),
+				Arguments.of("unsigned", (Function<RawRequest, RawAnswer>) (request) -> RawAnswer.of(200,
+						List.of("X-Attempt-Id: " + request.header("X-Attempt-Id")), "of nobody")));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("wrongAnswers")
+	void triesALookupAgainAndAnOrderNever(String name, Function<RawRequest, RawAnswer> wrong) throws Exception {
+		AtomicInteger calls = new AtomicInteger();
+		try (GatewayRig rig = new GatewayRig(2, (request) -> (calls.getAndIncrement() == 0) ? wrong.apply(request)
+				: GatewayRig.signed(request, "right"))) {
+			assertThat(rig.call(RawCaller.request("GET", "/look/a", "a1", ""))).endsWith("right");
+			calls.set(0);
+			String order = rig.call(RawCaller.request("POST", "/order/a", "a2", "body"));
+			assertThat(order).startsWith("HTTP/1.1 502").doesNotContain("Signature");
+			assertThat(rig.arrivals()).filteredOn((request) -> request.target().equals("/order/a")).hasSize(1);
+		}
+	}
+
+	@ParameterizedTest(name = "more bytes: {0}")
+	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Response-Signature: s\r\n\r\nextra", "junk" })
+	void passesNoBytesOnThatFollowAnAnswer(String more) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "first").then(more))) {
+			for (int call = 0; call < 6; call++) {
+				String answer = rig.call(RawCaller.request("GET", "/look/a", "a" + call, ""));
+				assertThat(answer).doesNotContain("extra").doesNotContain("junk");
+			}
+		}
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(strings = { "/look/a", "/ask/a", "/order/a" })
+	void stopsTheCallOfACallerThatLeft(String path) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "late").after(1_500))) {
+			try (RawCaller caller = rig.caller()) {
+				caller.send(RawCaller.request("POST", path, "a1", "body"));
+				GatewayRig.await(() -> rig.arrivals().size() == 1);
+			}
+			TimeUnit.MILLISECONDS.sleep(1_000);
+			assertThat(rig.arrivals()).as("the call of a caller that left is not repeated").hasSize(1);
+			assertThat(rig.gateway.inProgress()).isZero();
+		}
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(
+			strings = { "Content-Length: 4\r\nContent-Length: 5", "Transfer-Encoding: chunked\r\nContent-Length: 4",
+					"Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked" })
+	void refusesAmbiguousFraming(String framing) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "ok"))) {
+			String answer = rig
+				.call("POST /order/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nAuthorization: Bearer k1\r\n" + framing
+						+ "\r\n\r\n0\r\n\r\nGET /look/smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+			assertThat(answer).startsWith("HTTP/1.1 400");
+			assertThat(rig.arrivals()).isEmpty();
+		}
+	}
+
+	@ParameterizedTest(name = "{0}: {1}")
+	@CsvSource({ "/none/a, 404", "/look/a, 401" })
+	void refusesWithoutAPromise(String path, int status) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "ok"))) {
+			String answer = rig
+				.call("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nAuthorization: Bearer x\r\n\r\n");
+			assertThat(answer).startsWith("HTTP/1.1 " + status);
+		}
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(ints = { 503, 429 })
+	void servesOnWhileTheStoreRefuses(int status) throws Exception {
+		try (GatewayRig rig = new GatewayRig(2, (request) -> GatewayRig.signed(request, "ok"))) {
+			rig.store.server().answer((request) -> RawAnswer.of(status, List.of(), ""));
+			TimeUnit.MILLISECONDS.sleep(1_500);
+			assertThat(rig.call(RawCaller.request("GET", "/look/a", "a1", ""))).endsWith("ok");
+			rig.configure(2, ",{'Host':'h','PathPrefix':'/new/','Kind':'idempotent','TimeoutMs':4000,'Service':'s'}");
+			rig.store.server().answer(rig.store::serve);
+			GatewayRig.await(() -> rig.call(RawCaller.request("GET", "/new/a", "a2", "")).endsWith("ok"));
+		}
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(strings = { "draining" })
+	void sendsNothingToALeavingInstance(String state) throws Exception {
+		try (GatewayRig rig = new GatewayRig(2, (request) -> GatewayRig.signed(request, "ok"))) {
+			rig.register(0, state);
+			TimeUnit.MILLISECONDS.sleep(1_500);
+			int before = rig.instances.get(0).requests().size();
+			for (int call = 0; call < 10; call++) {
+				rig.call(RawCaller.request("GET", "/look/a", "a" + call, ""));
+			}
+			assertThat(rig.instances.get(0).requests()).hasSize(before);
+		}
+	}
+
+	@ParameterizedTest(name = "{0} requests before")
+	@ValueSource(ints = { 0, 1 })
+	void withdrawsItselfBeforeItStops(int requests) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "late").after(600))) {
+			assertThat(rig.directory()).contains("Addresses").contains("127.0.0.1");
+			try (RawCaller caller = rig.caller()) {
+				if (requests > 0) {
+					caller.send(RawCaller.request("GET", "/order/a", "a1", ""));
+					GatewayRig.await(() -> rig.arrivals().size() == 1);
+				}
+				rig.gateway.drain();
+				assertThat(rig.ready()).startsWith("HTTP/1.1 503");
+				assertThat(rig.directory()).startsWith("HTTP/1.1 503");
+				if (requests > 0) {
+					assertThat(caller.answer()).endsWith("late").contains("Connection: close");
+				}
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -0,0 +1,133 @@
+package org.rattanhead.daemon.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+import org.apache.logging.log4j.Level;
+
+import org.rattanhead.decision.forward.ForwardLimits;
+import org.rattanhead.house.standin.RawAnswer;
+import org.rattanhead.house.standin.RawRequest;
+import org.rattanhead.house.standin.RawServer;
+import org.rattanhead.house.standin.StoreStandin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A gateway, a store and instances of one service, in one process.
+ */
+final class GatewayRig implements AutoCloseable {
+
+	static final String OPERATORS = "keyed.op";
+
+	static final String INSTANCES = "keyed.servers";
+
+	private static final String ROUTES = "{'Host':'h','PathPrefix':'/look/','Kind':'idempotent','TimeoutMs':4000,"
+			+ "'TargetLatencyMs':100,'MaxAttempts':2,'Service':'s'},{'Host':'h','PathPrefix':'/order/',"
+			+ "'Kind':'non_idempotent','TimeoutMs':4000,'TargetLatencyMs':100,'MaxAttempts':1,'Service':'s'},"
+			+ "{'Host':'h','PathPrefix':'/ask/','Kind':'streaming','TimeoutMs':4000,'TargetLatencyMs':300,"
+			+ "'MaxAttempts':2,'Service':'s','Resumable':true,'TargetGapMs':250}";
+
+	final StoreStandin store = new StoreStandin();
+
+	final List<RawServer> instances = new ArrayList<>();
+
+	final Gateway gateway;
+
+	private final GatewaySettings settings;
+
+	GatewayRig(int count, Function<RawRequest, RawAnswer> script) throws Exception {
+		for (int index = 0; index < count; index++) {
+			this.instances.add(new RawServer(script));
+			register(index, "ready");
+		}
+		configure(1, "");
+		this.settings = new GatewaySettings("self", free(), free(), free(), free(), free(),
+				this.store.server().address(), new ForwardLimits(0.2, 100, 10_000, 20_000), 2_000, 2_000, Level.INFO);
+		this.gateway = new Gateway(this.settings);
+		await(() -> answer(this.settings.readyAddress(), "/rattanhead/readyz").startsWith("HTTP/1.1 200"));
+	}
+
+	static RawAnswer signed(RawRequest request, String body) {
+		return RawAnswer.of(200, List.of("X-Attempt-Id: " + request.header("X-Attempt-Id"), "X-Response-Signature: s"),
+				body);
+	}
+
+	void register(int index, String state) {
+		InetSocketAddress address = this.instances.get(index).address();
+		this.store.put(INSTANCES, "i-" + index,
+				("{'Service':'s','Address':'127.0.0.1:" + address.getPort() + "','Zone':'z','Slots':8,'State':'" + state
+						+ "','ColdRemainingMs':0,'Sequence':1,'born':1}")
+					.replace('\'', '"'));
+	}
+
+	void configure(long version, String moreRoutes) {
+		this.store.put(OPERATORS, "config", ("{'Version':" + version + ",'Routes':[" + ROUTES + moreRoutes
+				+ "],'Services':[{'Name':'s','MaxConnections':50}],'Tenants':[{'Name':'atelier','ApiKeys':['k1']}]}")
+			.replace('\'', '"'));
+	}
+
+	RawCaller caller() throws IOException {
+		return new RawCaller(this.settings.callersAddress());
+	}
+
+	String call(String bytes) {
+		try (RawCaller caller = caller()) {
+			return caller.send(bytes).answer();
+		}
+		catch (IOException ex) {
+			return "<" + ex.getMessage() + ">";
+		}
+	}
+
+	String directory() {
+		return answer(this.settings.directoryAddress(), "/rattanhead/resolve?Name=h");
+	}
+
+	String ready() {
+		return answer(this.settings.readyAddress(), "/rattanhead/readyz");
+	}
+
+	List<RawRequest> arrivals() {
+		return this.instances.stream().flatMap((server) -> server.requests().stream()).toList();
+	}
+
+	static void await(BooleanSupplier condition) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(endNanos);
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
+	private static String answer(InetSocketAddress address, String path) {
+		try (RawCaller caller = new RawCaller(address)) {
+			return caller.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").answer();
+		}
+		catch (IOException ex) {
+			return "<" + ex.getMessage() + ">";
+		}
+	}
+
+	private static InetSocketAddress free() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.gateway.close();
+		for (RawServer instance : this.instances) {
+			instance.close();
+		}
+		this.store.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
@@ -0,0 +1,69 @@
+package org.rattanhead.daemon.gateway;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.settings.IniFile;
+import org.rattanhead.settings.SettingsException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * The settings of a gateway, faulty ones included.
+ */
+class GatewaySettingsTests {
+
+	private static final String GOOD = """
+			[gateway]
+			host = a
+			callers = 10.0.0.1:1
+			ready = 10.0.0.1:2
+			directory = 10.0.0.1:3
+			mesh = 10.0.0.1:4
+			metrics = 10.0.0.1:5
+			[platform]
+			store = 10.0.0.9:1
+			[limits]
+			retry-ratio = 0.2
+			retry-slack = 106
+			retry-window = 10s
+			max-hold = 20000ms
+			shutdown-grace = 8s
+			""";
+
+	@TempDir
+	private Path folder;
+
+	@ParameterizedTest(name = "{0}")
+	@ValueSource(strings = { GOOD })
+	void readsEverySetting(String text) throws Exception {
+		GatewaySettings settings = GatewaySettingsFile.parse(file(text));
+		assertThat(settings.limits().retryRatio()).isEqualTo(0.2);
+		assertThat(settings.limits().retrySlack()).isEqualTo(106);
+		assertThat(settings.graceMillis()).isEqualTo(8_000);
+		assertThat(settings.meshAddress().getPort()).isEqualTo(4);
+	}
+
+	@ParameterizedTest(name = "{0} -> {1}")
+	@CsvSource(delimiter = '|',
+			value = { "host = a||host", "callers = 10.0.0.1:1|callers = name:1|callers",
+					"retry-ratio = 0.2|retry-ratio = x|retry-ratio", "retry-ratio = 0.2|retry-ratio = 2|retry-ratio",
+					"retry-window = 10s|retry-window = 10|retry-window", "store = 10.0.0.9:1|stores = 10.0.0.9:1|store",
+					"[limits]|[limit]|limit" })
+	void namesAFaultAndItsRemedy(String good, String bad, String named) {
+		String text = GOOD.replace(good, (bad != null) ? bad : "");
+		assertThatExceptionOfType(SettingsException.class).isThrownBy(() -> GatewaySettingsFile.parse(file(text)))
+			.withMessageContaining(named);
+	}
+
+	private IniFile file(String text) throws Exception {
+		return IniFile.read(Files.writeString(this.folder.resolve("gateway.ini"), text));
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RawCaller.java
@@ -0,0 +1,79 @@
+package org.rattanhead.daemon.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+
+/**
+ * A caller on a plain socket.
+ */
+final class RawCaller implements AutoCloseable {
+
+	private static final int TIMEOUT_MILLIS = 8_000;
+
+	private final Socket socket;
+
+	RawCaller(InetSocketAddress address) throws IOException {
+		this.socket = new Socket(address.getAddress(), address.getPort());
+		this.socket.setSoTimeout(TIMEOUT_MILLIS);
+		this.socket.setTcpNoDelay(true);
+	}
+
+	static String request(String method, String path, String attempt, String body, String... fields) {
+		return method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt
+				+ "\r\nX-Deadline-Remaining-Ms: 5000\r\nAuthorization: Bearer k1\r\n"
+				+ String.join("", Arrays.stream(fields).map((field) -> field + "\r\n").toList())
+				+ (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
+	}
+
+	RawCaller send(String bytes) throws IOException {
+		this.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+		return this;
+	}
+
+	/**
+	 * Reads one answer, as text with its head, or what came before the connection ended.
+	 */
+	String answer() throws IOException {
+		InputStream in = this.socket.getInputStream();
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		String text = "";
+		while (!whole(text)) {
+			int next = in.read();
+			if (next < 0) {
+				return text + "<closed>";
+			}
+			out.write(next);
+			text = out.toString(StandardCharsets.UTF_8);
+		}
+		return text;
+	}
+
+	private static boolean whole(String text) {
+		int end = text.indexOf("\r\n\r\n");
+		if (end < 0) {
+			return false;
+		}
+		String head = text.substring(0, end).toLowerCase(Locale.ROOT);
+		if (head.contains("transfer-encoding: chunked")) {
+			return text.endsWith("0\r\n\r\n");
+		}
+		int length = head.indexOf("content-length: ");
+		if (length < 0) {
+			return true;
+		}
+		String digits = head.substring(length + "content-length: ".length()).split("\r\n")[0].trim();
+		return text.length() - end - 4 >= Integer.parseInt(digits);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+	}
+
+}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -54,6 +54,7 @@
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) settings.headerTimeoutMillis())
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, (int) settings.idleTimeoutMillis())
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
 			.setHandler(byAddress(settings.listenAddress(), forward, pages));
 		Set<InetSocketAddress> addresses = new LinkedHashSet<>();
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerWatch.java
@@ -0,0 +1,97 @@
+package org.rattanhead.http.internal;
+
+import java.io.IOException;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import org.xnio.IoUtils;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Reads from the connection of a caller that waits, since the server itself does not
+ * until the answer is written. An end of the stream closes the connection, so that its
+ * close listeners run; bytes of a next request are handed back. Used on the I/O thread of
+ * the connection only.
+ */
+final class CallerWatch implements ReadReadyHandler {
+
+	private final HttpServerConnection connection;
+
+	private final StreamSourceConduit source;
+
+	private boolean stopped;
+
+	private CallerWatch(HttpServerConnection connection) {
+		this.connection = connection;
+		this.source = connection.getOriginalSourceConduit();
+	}
+
+	static CallerWatch start(HttpServerExchange exchange) {
+		CallerWatch watch = new CallerWatch((HttpServerConnection) exchange.getConnection());
+		if (watch.connection.getExtraBytes() == null) {
+			watch.source.setReadReadyHandler(watch);
+			watch.source.resumeReads();
+		}
+		else {
+			watch.stopped = true;
+		}
+		return watch;
+	}
+
+	/**
+	 * Gives the connection back to the server, before the answer ends.
+	 */
+	void stop() {
+		if (!this.stopped) {
+			this.stopped = true;
+			this.source.suspendReads();
+		}
+	}
+
+	@Override
+	public void readReady() {
+		if (this.stopped) {
+			return;
+		}
+		PooledByteBuffer pooled = this.connection.getByteBufferPool().allocate();
+		boolean kept = false;
+		try {
+			int count = this.source.read(pooled.getBuffer());
+			if (count < 0) {
+				gone();
+			}
+			else if (count > 0) {
+				pooled.getBuffer().flip();
+				this.connection.ungetRequestBytes(pooled);
+				kept = true;
+				stop();
+			}
+		}
+		catch (IOException ex) {
+			gone();
+		}
+		finally {
+			if (!kept) {
+				pooled.close();
+			}
+		}
+	}
+
+	private void gone() {
+		stop();
+		IoUtils.safeClose(this.connection);
+	}
+
+	@Override
+	public void forceTermination() {
+		gone();
+	}
+
+	@Override
+	public void terminated() {
+		gone();
+	}
+
+}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
@@ -22,10 +22,13 @@
 
 	private final ResponseWriter writer;
 
+	private final CallerWatch watch;
+
 	ForwardStream(HttpServerExchange exchange, Runnable onLeft) {
 		this.exchange = exchange;
 		this.writer = new ResponseWriter(exchange, onLeft);
 		ConnectionWatch.of(exchange.getConnection()).current(onLeft);
+		this.watch = CallerWatch.start(exchange);
 	}
 
 	void begin(BeginReply command, boolean closing) {
@@ -37,7 +40,10 @@
 	}
 
 	void end() {
-		onIoThread(this.writer::end);
+		onIoThread(() -> {
+			this.watch.stop();
+			this.writer.end();
+		});
 	}
 
 	void breakOff() {
@@ -46,6 +52,7 @@
 
 	void refuse(RefusalReply reply, boolean closing) {
 		onIoThread(() -> {
+			this.watch.stop();
 			head(reply.status(), reply.fields(), reply.body().length(), closing);
 			this.writer.write(reply.body());
 			this.writer.end();
