Take the end of work of a daemon that was never heard

A lost event can also be the end of one's own request. Measured: ForwardPartsTests.takesTheEndOfWorkThatItDoesNotKnow red before, green after.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -106,7 +106,10 @@
 	}
 
 	void remove(String host, String key, long nowNanos) {
-		this.keysByHost.getOrDefault(host, Set.of()).remove(key);
+		Set<String> keys = this.keysByHost.get(host);
+		if (keys != null) {
+			keys.remove(key);
+		}
 		String id = this.instanceByKey.remove(key);
 		if (id != null && this.instances.containsKey(id)) {
 			this.instances.get(id).remove(key, nowNanos);
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
@@ -15,6 +15,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.Configuration;
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Route;
 import org.rattanhead.core.forward.RouteKind;
 import org.rattanhead.core.forward.ServiceLimits;
@@ -113,12 +114,22 @@
 		assertThat(fleet.candidates(limits, Set.of(), 1)).hasSize(candidates);
 	}
 
+	@ParameterizedTest(name = "{0}")
+	@CsvSource({ "a daemon that was never heard, stranger, k", "work on an unknown instance, p, k" })
+	void takesTheEndOfWorkThatItDoesNotKnow(String name, String host, String key) {
+		UpstreamFleet fleet = new UpstreamFleet();
+		fleet.place("p", new LoadEntry(key, "unknown", 1, 1, 1, 1, 5_000), 0);
+		fleet.remove(host, key, 0);
+		fleet.replace(host, List.of(), 0);
+		assertThat(fleet.find("unknown")).isEmpty();
+	}
+
 	@ParameterizedTest(name = "incarnation {0}: {1} running")
 	@CsvSource({ "1, 1", "2, 0" })
 	void forgetsTheLoadOfAnEarlierLife(long incarnation, int running) {
 		UpstreamFleet fleet = new UpstreamFleet();
 		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, 0, 1)), 0);
-		fleet.place("p", new org.rattanhead.core.forward.LoadEntry("k", "e", 1, 1, 1, 1, 5_000), 0);
+		fleet.place("p", new LoadEntry("k", "e", 1, 1, 1, 1, 5_000), 0);
 		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, 0, incarnation)), 1);
 		assertThat(fleet.find("e").orElseThrow().running()).isEqualTo(running);
 	}
