--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpCall.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpCall.java
@@ -1,10 +1,9 @@
 package org.rattanhead.client;
 
-import org.rattanhead.core.HttpField;
-
 import java.net.InetSocketAddress;
 import java.util.List;
 
+import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
 
 /**
--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpHead.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpHead.java
@@ -1,9 +1,9 @@
 package org.rattanhead.client;
 
-import org.rattanhead.core.HttpField;
-
 import java.util.List;
 
+import org.rattanhead.core.HttpField;
+
 /**
  * Status and header fields of a reply.
  *
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -26,9 +26,9 @@
 
 import org.rattanhead.client.CallFailure;
 import org.rattanhead.client.HttpCall;
-import org.rattanhead.core.HttpField;
 import org.rattanhead.client.HttpHead;
 import org.rattanhead.client.ReplyObserver;
+import org.rattanhead.core.HttpField;
 
 /**
  * One call on one connection. Everything after the connect runs on the I/O thread of the
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayEndToEndTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayEndToEndTests.java
@@ -1,11 +1,14 @@
 package org.rattanhead.daemon.gateway;
 
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Stream;
 
+import com.sun.management.OperatingSystemMXBean;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -94,6 +97,48 @@
 		}
 	}
 
+	@ParameterizedTest(name = "{0} callers")
+	@ValueSource(ints = { 8 })
+	void spendsNoProcessorTimeOnIdleConnections(int callers) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "ok"))) {
+			List<RawCaller> open = new ArrayList<>();
+			for (int caller = 0; caller < callers; caller++) {
+				open.add(rig.caller());
+				for (int call = 0; call < 3; call++) {
+					assertThat(open.get(caller).send(RawCaller.request("GET", "/look/a", "a" + call, "")).answer())
+						.endsWith("ok");
+				}
+			}
+			long before = processorNanos();
+			TimeUnit.MILLISECONDS.sleep(1_000);
+			assertThat(processorNanos() - before).as("processor time in a second without requests")
+				.isLessThan(TimeUnit.MILLISECONDS.toNanos(250));
+			for (RawCaller caller : open) {
+				caller.close();
+			}
+		}
+	}
+
+	@ParameterizedTest(name = "{0} requests at once")
+	@ValueSource(ints = { 3 })
+	void answersRequestsThatFollowEachOtherAtOnce(int requests) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1,
+				(request) -> GatewayRig.signed(request, request.header("X-Attempt-Id")).after(50));
+				RawCaller caller = rig.caller()) {
+			for (int request = 0; request < requests; request++) {
+				caller.send(RawCaller.request("GET", "/look/a", "a" + request, ""));
+				TimeUnit.MILLISECONDS.sleep(10);
+			}
+			for (int request = 0; request < requests; request++) {
+				assertThat(caller.answer()).endsWith("a" + request);
+			}
+		}
+	}
+
+	private static long processorNanos() {
+		return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
+	}
+
 	@ParameterizedTest(name = "{0}")
 	@ValueSource(
 			strings = { "Content-Length: 4\r\nContent-Length: 5", "Transfer-Encoding: chunked\r\nContent-Length: 4",
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerWatch.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerWatch.java
@@ -47,6 +47,8 @@
 		if (!this.stopped) {
 			this.stopped = true;
 			this.source.suspendReads();
+			this.source.setReadReadyHandler(
+					new ReadReadyHandler.ChannelListenerHandler<>(this.connection.getChannel().getSourceChannel()));
 		}
 	}
 
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
@@ -32,7 +32,13 @@
 	}
 
 	void begin(BeginReply command, boolean closing) {
-		onIoThread(() -> head(command.status(), command.fields(), command.lengthBytes(), closing));
+		onIoThread(() -> {
+			if (command.lengthBytes() >= 0) {
+				// The server takes the next request once the last byte is written.
+				this.watch.stop();
+			}
+			head(command.status(), command.fields(), command.lengthBytes(), closing);
+		});
 	}
 
 	void write(Payload bytes) {
--- a/rattanhead-proof/src/test/java/org/rattanhead/proof/BadInputTests.java
+++ b/rattanhead-proof/src/test/java/org/rattanhead/proof/BadInputTests.java
@@ -16,8 +16,8 @@
 import org.rattanhead.cli.demo.LocalCluster;
 import org.rattanhead.client.HttpCall;
 import org.rattanhead.client.HttpCaller;
-import org.rattanhead.core.HttpField;
 import org.rattanhead.client.HttpReply;
+import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/rattanhead-proof/src/test/java/org/rattanhead/proof/StandinApiTests.java
+++ b/rattanhead-proof/src/test/java/org/rattanhead/proof/StandinApiTests.java
@@ -10,8 +10,8 @@
 
 import org.rattanhead.client.HttpCall;
 import org.rattanhead.client.HttpCaller;
-import org.rattanhead.core.HttpField;
 import org.rattanhead.client.HttpReply;
+import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
 import org.rattanhead.standin.host.HostListStandin;
 import org.rattanhead.standin.service.ServiceStandin;
--- a/rattanhead-upstream/src/test/java/org/rattanhead/upstream/internal/AnswerObserverTests.java
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/internal/AnswerObserverTests.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rattanhead.client.CallFailure;
-import org.rattanhead.core.HttpField;
 import org.rattanhead.client.HttpHead;
+import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.catalogue.UpstreamEntry;
 import org.rattanhead.core.problem.Execution;
