--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/LogLevel.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/LogLevel.java
@@ -7,7 +7,17 @@
  */
 public enum LogLevel {
 
-	ERROR(Level.ERROR), WARN(Level.WARN), INFO(Level.INFO), DEBUG(Level.DEBUG);
+	/** Faults that need an operator. */
+	ERROR(Level.ERROR),
+
+	/** Faults that the daemon works around. */
+	WARN(Level.WARN),
+
+	/** Decisions and changes of state. */
+	INFO(Level.INFO),
+
+	/** Details for developers. */
+	DEBUG(Level.DEBUG);
 
 	private final Level level;
 
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -9,7 +9,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -34,6 +36,12 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(MeshNetwork.class);
 
+	/**
+	 * The most that UDP carries; the library's default of 2 kB cuts the beat of a busy
+	 * daemon.
+	 */
+	private static final int MAX_DATAGRAM_BYTES = 65_535;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("mesh", true),
 			NioIoHandler.newFactory());
 
@@ -51,6 +59,7 @@
 		this.self = self;
 		this.channel = new Bootstrap().group(this.group)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
 			.handler(receiver(listener))
 			.bind(address)
 			.syncUninterruptibly()
--- /dev/null
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -0,0 +1,89 @@
+package org.rattanhead.peer.mesh;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LoadEntry;
+import org.rattanhead.core.forward.Member;
+import org.rattanhead.core.forward.MemberBeat;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Datagrams arrive as they were sent, and foreign ones do no harm.
+ */
+class MeshNetworkTests {
+
+	private final BlockingQueue<Object> arrived = new LinkedBlockingQueue<>();
+
+	private final MeshListener listener = new MeshListener() {
+		@Override
+		public void onBeat(MemberBeat beat) {
+			MeshNetworkTests.this.arrived.add(beat);
+		}
+
+		@Override
+		public void onLoadStarted(String host, List<LoadEntry> entries) {
+			MeshNetworkTests.this.arrived.add(entries);
+		}
+
+		@Override
+		public void onLoadEnded(String host, List<String> keys) {
+			MeshNetworkTests.this.arrived.add(keys);
+		}
+	};
+
+	@ParameterizedTest(name = "{0} entries")
+	@ValueSource(ints = { 0, 1, 30, 300 })
+	void carriesABeatOfAnySize(int entries) throws Exception {
+		InetSocketAddress address = free();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort());
+		MemberBeat beat = new MemberBeat(member, true, 7, load(entries), List.of(new CrashReport(-9, 2)));
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.beat(List.of(member), beat);
+			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(beat);
+		}
+	}
+
+	@ParameterizedTest(name = "{0} bytes")
+	@ValueSource(ints = { 0, 1, 500 })
+	void dropsForeignDatagrams(int length) throws Exception {
+		InetSocketAddress address = free();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort());
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener);
+				DatagramSocket socket = new DatagramSocket()) {
+			byte[] bytes = new byte[length];
+			Arrays.fill(bytes, (byte) 0xFF);
+			socket.send(new DatagramPacket(bytes, length, address));
+			network.loadStarted(List.of(member), load(2));
+			network.loadEnded(List.of(member), List.of("k"));
+			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(load(2));
+			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("k"));
+		}
+	}
+
+	private static List<LoadEntry> load(int entries) {
+		return IntStream.range(0, entries)
+			.mapToObj((index) -> new LoadEntry("front-thies-a-1-mo5liv5x-" + index + ".1", "i-0123456789", 6_000, 34,
+					250, 1.4, 9_000))
+			.toList();
+	}
+
+	private static InetSocketAddress free() throws Exception {
+		try (DatagramSocket socket = new DatagramSocket(0)) {
+			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+		}
+	}
+
+}
--- /dev/null
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the datagrams between daemons.
+ */
+package org.rattanhead.peer.mesh;
