--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/ServiceLimits.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/ServiceLimits.java
@@ -6,12 +6,9 @@
  * Limits of a service of the configuration in force.
  *
  * @param name the name of the service
- * @param maxConnections the connections an instance accepts from all daemons together
- * @param coldStartMillis how long an instance stays cold after its start, in milliseconds
  * @param coldPerSecond the requests a second that a cold instance bears, 0 if it is never
  * cold
  * @param engine the figures of the model engine, empty for a plain service
  */
-public record ServiceLimits(String name, int maxConnections, long coldStartMillis, double coldPerSecond,
-		Optional<EngineModel> engine) {
+public record ServiceLimits(String name, double coldPerSecond, Optional<EngineModel> engine) {
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
@@ -39,7 +39,7 @@
 			}
 			IniFile file = IniFile.read(options.settings());
 			if (GatewayMain.accepts(file)) {
-				GatewayMain.run(file, options.check());
+				GatewayMain.run(options.settings(), file, options.check());
 				return;
 			}
 			DaemonSettings settings = DaemonSettingsFile.parse(file);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -52,17 +52,17 @@
 	private static final long BEAT_MILLIS = 700;
 
 	/**
-	 * How long a read of the operators' records waits; under the time to put one in
-	 * force.
+	 * How long a read of the operators' records waits. A connection that went silent is
+	 * noticed before the time in which a host has to be in touch again.
 	 */
-	private static final long OPERATORS_WAIT_MILLIS = 1_500;
+	private static final long OPERATORS_WAIT_MILLIS = 2_500;
 
 	private static final long OPERATORS_PERIOD_MILLIS = 20;
 
 	/**
 	 * The pause between reads of the instances; under the time to notice a leaving one.
 	 */
-	private static final long INSTANCES_PERIOD_MILLIS = 1_000;
+	private static final long INSTANCES_PERIOD_MILLIS = 1_200;
 
 	private static final long MEMBERS_PERIOD_MILLIS = 5_000;
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMain.java
@@ -1,7 +1,9 @@
 package org.rattanhead.daemon.gateway;
 
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
+import org.rattanhead.ring.HangupSignal;
 import org.rattanhead.ring.ShutdownHook;
 import org.rattanhead.settings.IniFile;
 
@@ -24,10 +26,11 @@
 
 	/**
 	 * Checks the settings and runs the gateway.
-	 * @param file the settings
+	 * @param path the settings file, which is read again on SIGHUP
+	 * @param file its content
 	 * @param checkOnly whether to return after the check
 	 */
-	public static void run(IniFile file, boolean checkOnly) {
+	public static void run(Path path, IniFile file, boolean checkOnly) {
 		GatewaySettings settings = GatewaySettingsFile.parse(file);
 		if (checkOnly) {
 			return;
@@ -40,6 +43,7 @@
 				gateway.close();
 				stopped.countDown();
 			});
+			HangupSignal.register(new GatewayReload(path, settings));
 			stopped.await();
 		}
 		catch (InterruptedException ex) {
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettings.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettings.java
@@ -24,4 +24,11 @@
 record GatewaySettings(String host, InetSocketAddress callersAddress, InetSocketAddress readyAddress,
 		InetSocketAddress directoryAddress, InetSocketAddress meshAddress, InetSocketAddress metricsAddress,
 		InetSocketAddress storeAddress, ForwardLimits limits, long graceMillis, long addressTtlMillis, Level logLevel) {
+
+	GatewaySettings with(Level newLogLevel) {
+		return new GatewaySettings(this.host, this.callersAddress, this.readyAddress, this.directoryAddress,
+				this.meshAddress, this.metricsAddress, this.storeAddress, this.limits, this.graceMillis,
+				this.addressTtlMillis, newLogLevel);
+	}
+
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -117,11 +117,11 @@
 
 	private void publish() {
 		this.board.others(this.table.ready());
-		int alive = this.table.alive();
-		if (alive != this.counted) {
-			this.counted = alive;
-			LOGGER.info("peer: {} daemons are alive", alive);
-			this.decisions.offer(new PeersCounted(alive), Urgency.CONTROL);
+		int known = 1 + this.table.recipients().size();
+		if (known != this.counted) {
+			this.counted = known;
+			LOGGER.info("peer: {} daemons are known, {} of them alive", known, this.table.alive());
+			this.decisions.offer(new PeersCounted(known), Urgency.CONTROL);
 		}
 	}
 
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -60,15 +60,22 @@
 	}
 
 	void register(int index, String state) {
-		InetSocketAddress address = this.instances.get(index).address();
-		this.store.put(INSTANCES, "i-" + index,
+		register(this.store, index, this.instances.get(index).address(), state);
+	}
+
+	static void register(StoreStandin store, int index, InetSocketAddress address, String state) {
+		store.put(INSTANCES, "i-" + index,
 				("{'Service':'s','Address':'127.0.0.1:" + address.getPort() + "','Zone':'z','Slots':8,'State':'" + state
 						+ "','ColdRemainingMs':0,'Sequence':1,'born':1}")
 					.replace('\'', '"'));
 	}
 
 	void configure(long version, String moreRoutes) {
-		this.store.put(OPERATORS, "config", ("{'Version':" + version + ",'Routes':[" + ROUTES + moreRoutes
+		configure(this.store, version, moreRoutes);
+	}
+
+	static void configure(StoreStandin store, long version, String moreRoutes) {
+		store.put(OPERATORS, "config", ("{'Version':" + version + ",'Routes':[" + ROUTES + moreRoutes
 				+ "],'Services':[{'Name':'s','MaxConnections':50}],'Tenants':[{'Name':'atelier','ApiKeys':['k1']}]}")
 			.replace('\'', '"'));
 	}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
@@ -3,6 +3,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -62,6 +64,18 @@
 			.withMessageContaining(named);
 	}
 
+	@ParameterizedTest(name = "{0} -> {1}: level {2}")
+	@CsvSource({ "host = a, host = a, INFO", "[gateway], [logs]\\nlevel = debug\\n[gateway], DEBUG",
+			"retry-ratio = 0.2, retry-ratio = x, INFO", "host = a, host = b, INFO" })
+	void appliesTheLogLevelOnReload(String from, String to, String level) throws Exception {
+		Path path = Files.writeString(this.folder.resolve("gateway.ini"), GOOD);
+		GatewayReload reload = new GatewayReload(path, GatewaySettingsFile.parse(IniFile.read(path)));
+		GatewayLogs.apply(Level.INFO);
+		Files.writeString(path, GOOD.replace(from, to.replace("\\n", "\n")));
+		reload.run();
+		assertThat(LogManager.getLogger(GatewayLogs.DECISIONS).getLevel()).isEqualTo(Level.getLevel(level));
+	}
+
 	private IniFile file(String text) throws Exception {
 		return IniFile.read(Files.writeString(this.folder.resolve("gateway.ini"), text));
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -90,7 +90,7 @@
 
 	private static ServiceLimits limits(Configuration configuration, String service) {
 		ServiceLimits limits = configuration.services().get(service);
-		return (limits != null) ? limits : new ServiceLimits(service, 0, 0, 0, Optional.empty());
+		return (limits != null) ? limits : new ServiceLimits(service, 0, Optional.empty());
 	}
 
 	private static ProblemException refusal(ProblemKind kind, String detail) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -24,7 +24,7 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
-	private final TicketBook tickets = new TicketBook();
+	private final TicketBook tickets;
 
 	private final Map<RequestId, Forwarding> requests = new LinkedHashMap<>();
 
@@ -36,6 +36,7 @@
 		this.self = self;
 		this.random = random;
 		this.budget = new RetryBudget(limits);
+		this.tickets = new TicketBook(limits.maxHoldMillis());
 	}
 
 	String self() {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeersCounted.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeersCounted.java
@@ -1,9 +1,10 @@
 package org.rattanhead.decision.forward;
 
 /**
- * The number of live daemons changed.
+ * The number of daemons that share limits changed. Daemons that fell silent a short time
+ * ago count, since they may only be out of reach.
  *
- * @param daemons the live daemons, this one included
+ * @param daemons the daemons, this one included
  */
 public record PeersCounted(int daemons) implements ForwardEvent {
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/TicketBook.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/TicketBook.java
@@ -26,13 +26,23 @@
 
 	private static final long LAPSE_NANOS = Millis.toNanos(2 * HOLD_MILLIS);
 
+	private final long holdMillis;
+
 	private final Map<String, HeldTicket> tickets = new LinkedHashMap<>();
 
+	/**
+	 * Creates a book without reservations.
+	 * @param maxHoldMillis the longest time that memory may be reserved, in milliseconds
+	 */
+	TicketBook(long maxHoldMillis) {
+		this.holdMillis = Math.min(HOLD_MILLIS, maxHoldMillis);
+	}
+
 	void reserve(List<Ticket> wanted, long nowNanos, List<ForwardCommand> commands) {
 		for (Ticket ticket : wanted) {
 			this.tickets.put(ticket.name(),
 					new HeldTicket(ticket, TicketState.ASKED, nowNanos + RENEW_NANOS, nowNanos));
-			commands.add(new ReserveTicket(ticket, HOLD_MILLIS));
+			commands.add(new ReserveTicket(ticket, this.holdMillis));
 		}
 	}
 
@@ -97,8 +107,8 @@
 			}
 			else if (nowNanos >= held.dueNanos()) {
 				boolean releasing = held.state() == TicketState.RELEASING;
-				commands
-					.add(releasing ? new ReleaseTicket(held.ticket()) : new ReserveTicket(held.ticket(), HOLD_MILLIS));
+				commands.add(releasing ? new ReleaseTicket(held.ticket())
+						: new ReserveTicket(held.ticket(), this.holdMillis));
 				this.tickets.put(held.ticket().name(),
 						held.with(held.state(), nowNanos + (releasing ? RELEASE_AGAIN_NANOS : RENEW_NANOS)));
 			}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
@@ -92,7 +92,7 @@
 		UpstreamFleet fleet = new UpstreamFleet();
 		fleet.daemons(daemons);
 		fleet.update(List.of(new UpstreamInstance("e", "s", "10.0.0.1:80", "d", 4, false, coldMillis, 1)), 0);
-		ServiceLimits limits = new ServiceLimits("s", 10, 3_000, 12, Optional.empty());
+		ServiceLimits limits = new ServiceLimits("s", 12, Optional.empty());
 		int count = 0;
 		for (int request = 0; request < 30; request++) {
 			List<InstanceLoad> candidates = fleet.candidates(limits, Set.of(), request);
@@ -110,7 +110,7 @@
 		for (int index = 0; index < failed; index++) {
 			fleet.find("o" + index).orElseThrow().failed(0);
 		}
-		ServiceLimits limits = new ServiceLimits(ForwardRig.ORDERS, 10, 0, 0, Optional.empty());
+		ServiceLimits limits = new ServiceLimits(ForwardRig.ORDERS, 0, Optional.empty());
 		assertThat(fleet.candidates(limits, Set.of(), 1)).hasSize(candidates);
 	}
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -67,9 +67,8 @@
 				new Route("host", "/long/", RouteKind.STREAM, List.of(new ServiceShare(ENGINES, 1)), 2, 10_000, 3_000,
 						1_000, 1, false, true),
 				route("/order/", RouteKind.AT_MOST_ONCE, ORDERS, 3), route("/look/", RouteKind.IDEMPOTENT, ORDERS, 2));
-		Map<String, ServiceLimits> services = Map.of(ENGINES,
-				new ServiceLimits(ENGINES, 400, 3_000, 36, Optional.of(ENGINE)), ORDERS,
-				new ServiceLimits(ORDERS, 100, 0, 0, Optional.empty()));
+		Map<String, ServiceLimits> services = Map.of(ENGINES, new ServiceLimits(ENGINES, 36, Optional.of(ENGINE)),
+				ORDERS, new ServiceLimits(ORDERS, 0, Optional.empty()));
 		return new Configuration(version, routes, services, true, Map.of(KEY, new WorkspaceGrant("atelier", 1)), 16_384,
 				4_096);
 	}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/TicketBookTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/TicketBookTests.java
@@ -22,7 +22,7 @@
 
 	private static final Ticket TICKET = new Ticket("r.1-e", ATTEMPT, "e", "10.0.0.1:80", 1_000);
 
-	private final TicketBook book = new TicketBook();
+	private final TicketBook book = new TicketBook(20_000);
 
 	private final List<ForwardCommand> commands = new ArrayList<>();
 
