--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -1,7 +1,5 @@
 package org.rattanhead.daemon;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -72,7 +70,7 @@
 
 	private final CompletableFuture<Void> holderDrained = new CompletableFuture<>();
 
-	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+	private final OwnedResources resources = new OwnedResources();
 
 	private final CompletableFuture<EdgeRouter> edgeRouter = new CompletableFuture<>();
 
@@ -205,21 +203,12 @@
 	}
 
 	private <T extends AutoCloseable> T own(T resource) {
-		this.resources.push(resource);
-		return resource;
+		return this.resources.own(resource);
 	}
 
 	@Override
 	public void close() {
-		while (!this.resources.isEmpty()) {
-			AutoCloseable resource = this.resources.pop();
-			try {
-				resource.close();
-			}
-			catch (Exception ex) {
-				LOGGER.warn("daemon: {} did not close cleanly", resource.getClass().getSimpleName(), ex);
-			}
-		}
+		this.resources.close();
 	}
 
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonSettingsFile.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonSettingsFile.java
@@ -2,18 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
-import org.rattanhead.core.host.HostAddress;
 import org.rattanhead.http.FrontEndSettings;
 import org.rattanhead.peer.PeerSettings;
+import org.rattanhead.settings.CheckedFile;
 import org.rattanhead.settings.IniFile;
-import org.rattanhead.settings.IniSection;
 import org.rattanhead.settings.SectionReader;
-import org.rattanhead.settings.SettingFault;
 import org.rattanhead.settings.SettingsException;
 
 /**
@@ -46,12 +41,10 @@
 
 	private static final long DEFAULT_DRAIN_TIMEOUT_MILLIS = 120_000;
 
-	private final IniFile file;
-
-	private final List<SettingFault> faults = new ArrayList<>();
+	private final CheckedFile file;
 
 	private DaemonSettingsFile(IniFile file) {
-		this.file = file;
+		this.file = new CheckedFile(file, SECTIONS);
 	}
 
 	/**
@@ -75,33 +68,30 @@
 	}
 
 	private DaemonSettings settings() {
-		reportUnknownSections();
-		SectionReader daemon = section("daemon");
+		SectionReader daemon = this.file.section("daemon");
 		String host = daemon.text("host");
 		daemon.reportUnknownKeys();
-		FrontEndSettings callers = callers(section("callers"));
-		PeerSettings peers = peers(host, section("peers"));
-		SectionReader platform = section("platform");
-		InetSocketAddress logService = address(platform, "log-service");
-		InetSocketAddress hostList = address(platform, "host-list");
+		FrontEndSettings callers = callers(this.file.section("callers"));
+		PeerSettings peers = peers(host, this.file.section("peers"));
+		SectionReader platform = this.file.section("platform");
+		InetSocketAddress logService = CheckedFile.address(platform, "log-service");
+		InetSocketAddress hostList = CheckedFile.address(platform, "host-list");
 		platform.reportUnknownKeys();
-		LogSettings logs = logs(section("logs"));
-		SectionReader claims = section("claims");
+		LogSettings logs = logs(this.file.section("logs"));
+		SectionReader claims = this.file.section("claims");
 		int claimBatch = claims.integer("max-batch", 1, MAX_CLAIM_BATCH, DEFAULT_CLAIM_BATCH);
 		claims.reportUnknownKeys();
-		SectionReader shutdown = section("shutdown");
+		SectionReader shutdown = this.file.section("shutdown");
 		long delayMillis = shutdown.durationMillis("drain-delay", callers.addressTtlMillis());
 		long timeoutMillis = shutdown.durationMillis("drain-timeout", DEFAULT_DRAIN_TIMEOUT_MILLIS);
 		shutdown.reportUnknownKeys();
-		if (!this.faults.isEmpty()) {
-			throw new SettingsException(this.faults);
-		}
+		this.file.finish();
 		return new DaemonSettings(host, callers, peers, logService, hostList, logs, claimBatch, delayMillis,
 				timeoutMillis);
 	}
 
 	private FrontEndSettings callers(SectionReader section) {
-		FrontEndSettings settings = new FrontEndSettings(address(section, "listen"),
+		FrontEndSettings settings = new FrontEndSettings(CheckedFile.address(section, "listen"),
 				section.integer("io-threads", 1, MAX_IO_THREADS, DEFAULT_IO_THREADS),
 				section.integer("max-body-bytes", 1, MAX_BODY_BYTES, DEFAULT_BODY_BYTES),
 				section.durationMillis("body-timeout", DEFAULT_BODY_TIMEOUT_MILLIS),
@@ -111,7 +101,7 @@
 	}
 
 	private PeerSettings peers(String host, SectionReader section) {
-		PeerSettings settings = new PeerSettings(host, address(section, "listen"),
+		PeerSettings settings = new PeerSettings(host, CheckedFile.address(section, "listen"),
 				section.durationMillis("ping", DEFAULT_PING_MILLIS),
 				section.durationMillis("silence", DEFAULT_SILENCE_MILLIS));
 		section.reportUnknownKeys();
@@ -125,22 +115,4 @@
 		return settings;
 	}
 
-	private static InetSocketAddress address(SectionReader section, String key) {
-		String text = section.address(key);
-		return HostAddress.valid(text) ? HostAddress.parse(text) : new InetSocketAddress(0);
-	}
-
-	private SectionReader section(String name) {
-		IniSection section = this.file.section(name).orElse(new IniSection(name, Map.of()));
-		return new SectionReader(this.file.name(), section, this.faults::add);
-	}
-
-	private void reportUnknownSections() {
-		this.file.sections()
-			.stream()
-			.filter((section) -> !SECTIONS.contains(section.name()))
-			.forEach((section) -> this.faults.add(new SettingFault(this.file.name(), section.name(), "",
-					"there is no such section", "remove it, or use one of " + SECTIONS.stream().sorted().toList())));
-	}
-
 }
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/OwnedResources.java
@@ -0,0 +1,42 @@
+package org.rattanhead.daemon;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The parts of a daemon, closed in the reverse order of their start.
+ */
+public final class OwnedResources implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(OwnedResources.class);
+
+	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+	/**
+	 * Takes a part over.
+	 * @param <T> its type
+	 * @param resource the part
+	 * @return the part
+	 */
+	public <T extends AutoCloseable> T own(T resource) {
+		this.resources.push(resource);
+		return resource;
+	}
+
+	@Override
+	public void close() {
+		while (!this.resources.isEmpty()) {
+			AutoCloseable resource = this.resources.pop();
+			try {
+				resource.close();
+			}
+			catch (Exception ex) {
+				LOGGER.warn("daemon: {} did not close cleanly", resource.getClass().getSimpleName(), ex);
+			}
+		}
+	}
+
+}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -1,8 +1,6 @@
 package org.rattanhead.daemon.gateway;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +13,7 @@
 
 import org.rattanhead.client.HttpCaller;
 import org.rattanhead.core.forward.Member;
+import org.rattanhead.daemon.OwnedResources;
 import org.rattanhead.decision.forward.BeatDue;
 import org.rattanhead.decision.forward.ForwardDecider;
 import org.rattanhead.decision.forward.ForwardDraining;
@@ -97,7 +96,7 @@
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
-	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+	private final OwnedResources resources = new OwnedResources();
 
 	private final CompletableFuture<GatewayRouter> router = new CompletableFuture<>();
 
@@ -213,21 +212,12 @@
 	}
 
 	private <T extends AutoCloseable> T own(T resource) {
-		this.resources.push(resource);
-		return resource;
+		return this.resources.own(resource);
 	}
 
 	@Override
 	public void close() {
-		while (!this.resources.isEmpty()) {
-			AutoCloseable resource = this.resources.pop();
-			try {
-				resource.close();
-			}
-			catch (Exception ex) {
-				LOGGER.warn("daemon: {} did not close cleanly", resource.getClass().getSimpleName(), ex);
-			}
-		}
+		this.resources.close();
 	}
 
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayLogs.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayLogs.java
@@ -29,9 +29,12 @@
 		ConfigurationBuilder<BuiltConfiguration> builder = ConfigurationBuilderFactory.newConfigurationBuilder();
 		console(builder, DECISIONS, TIME + "%m}%n");
 		console(builder, TEXT, TIME + "\"message\":\"%enc{%m}{JSON}\",\"error\":\"%enc{%throwable}{JSON}\"}%n");
-		for (String noisy : new String[] { "io.undertow", "org.xnio", "org.jboss", "io.netty" }) {
+		for (String noisy : new String[] { "io.undertow", "org.xnio", "org.jboss" }) {
 			builder.add(builder.newLogger(noisy, Level.WARN));
 		}
+		// Its warning about hardware addresses tells nothing here: datagrams need no
+		// machine id.
+		builder.add(builder.newLogger("io.netty", Level.ERROR));
 		// A broken answer is a decision about a request and is logged as such, without a
 		// stack trace.
 		builder.add(builder.newLogger("io.undertow.client", Level.OFF));
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
@@ -1,10 +1,13 @@
 package org.rattanhead.http.internal;
 
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
@@ -18,6 +21,8 @@
  */
 final class ForwardStream {
 
+	private static final Logger LOGGER = LogManager.getLogger(ForwardStream.class);
+
 	private final HttpServerExchange exchange;
 
 	private final ResponseWriter writer;
@@ -77,7 +82,12 @@
 	}
 
 	private void onIoThread(Runnable action) {
-		this.exchange.getIoThread().execute(action);
+		try {
+			this.exchange.getIoThread().execute(action);
+		}
+		catch (RejectedExecutionException ex) {
+			LOGGER.info("http: the server has stopped; the rest of an answer is dropped with its connection");
+		}
 	}
 
 }
