--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -54,7 +54,7 @@
 	 * How long a read of the operators' records waits. A connection that went silent is
 	 * noticed before the time in which a host has to be in touch again.
 	 */
-	private static final long OPERATORS_WAIT_MILLIS = 2_500;
+	private static final long OPERATORS_WAIT_MILLIS = 1_500;
 
 	private static final long OPERATORS_PERIOD_MILLIS = 20;
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -73,9 +73,11 @@
 	}
 
 	private void read() {
+		// A read that waits would hang on long after the store is back, if its answer is
+		// lost.
 		String afterKey = this.collected.isEmpty() ? "" : this.collected.get(this.collected.size() - 1).key();
 		CompletableFuture<KeyedPage> page = this.snapshot ? this.store.newest(this.plan.stream(), afterKey)
-				: this.store.changes(this.plan.stream(), this.nextOffset, this.plan.waitMillis());
+				: this.store.changes(this.plan.stream(), this.nextOffset, this.lost ? 0 : this.plan.waitMillis());
 		page.whenComplete((found, failure) -> this.duty.offer(new FollowEvent(found, failure), Urgency.CONTROL));
 	}
 
--- /dev/null
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -0,0 +1,156 @@
+package org.rattanhead.platform.keyed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.ring.Ticker;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a follower reads after failures and gaps.
+ */
+class KeyedFollowerTests {
+
+	private static final long WAIT_MILLIS = 77;
+
+	private final BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+	private final List<CompletableFuture<KeyedPage>> script = new ArrayList<>();
+
+	private final KeyedStore store = new KeyedStore() {
+		@Override
+		public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
+			KeyedFollowerTests.this.reads.add("newest " + afterKey);
+			return next();
+		}
+
+		@Override
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+			KeyedFollowerTests.this.reads.add("from " + fromOffset + " wait " + waitMillis);
+			return next();
+		}
+
+		@Override
+		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+		private CompletableFuture<KeyedPage> next() {
+			List<CompletableFuture<KeyedPage>> left = KeyedFollowerTests.this.script;
+			return left.isEmpty() ? new CompletableFuture<>() : left.remove(0);
+		}
+	};
+
+	private final KeyedListener listener = new KeyedListener() {
+		@Override
+		public void onNewest(List<KeyedRecord> records) {
+			KeyedFollowerTests.this.heard.add("newest " + records.size());
+		}
+
+		@Override
+		public void onChanges(List<KeyedRecord> records) {
+			KeyedFollowerTests.this.heard.add("changes " + records.size());
+		}
+
+		@Override
+		public void onLost() {
+			KeyedFollowerTests.this.heard.add("lost");
+		}
+	};
+
+	@ParameterizedTest(name = "{0} failures")
+	@ValueSource(ints = { 1, 2 })
+	void readsWithoutWaitingUntilTheStoreAnswersAgain(int failures) throws Exception {
+		page(5, 1, false);
+		for (int failure = 0; failure < failures; failure++) {
+			this.script.add(CompletableFuture.failedFuture(new IllegalStateException("no answer")));
+		}
+		page(6, 1, false);
+		follow(() -> {
+			expectReads("newest ", "from 5 wait 77");
+			for (int failure = 0; failure < failures; failure++) {
+				expectReads("from 5 wait 0");
+			}
+			expectReads("from 6 wait 77");
+		});
+	}
+
+	@ParameterizedTest(name = "a gap {0}")
+	@CsvSource({ "at once, 0", "after changes, 1" })
+	void startsAgainAfterAGap(String when, int changes) throws Exception {
+		page(5, 2, false);
+		for (int change = 0; change < changes; change++) {
+			page(6 + change, 1, false);
+		}
+		this.script.add(CompletableFuture.completedFuture(new KeyedPage(List.of(), 0, false, true)));
+		page(9, 3, false);
+		follow(() -> {
+			assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 2");
+			for (int change = 0; change < changes; change++) {
+				assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("changes 1");
+			}
+			assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 3");
+		});
+	}
+
+	@ParameterizedTest(name = "{0} pages")
+	@ValueSource(ints = { 2, 4 })
+	void readsAllPagesAndGoesOnAfterTheFirstEnd(int pages) throws Exception {
+		for (int page = 0; page < pages; page++) {
+			page(5 + page, 2, page < pages - 1);
+		}
+		follow(() -> {
+			assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("newest " + 2 * pages);
+			for (int page = 0; page < pages; page++) {
+				this.reads.poll(5, TimeUnit.SECONDS);
+			}
+			expectReads("from 5 wait 77");
+		});
+	}
+
+	private void page(long nextOffset, int records, boolean more) {
+		List<KeyedRecord> all = new ArrayList<>();
+		for (int record = 0; record < records; record++) {
+			all.add(new KeyedRecord("k" + record, Optional.of(Payload.of("v"))));
+		}
+		this.script.add(CompletableFuture.completedFuture(new KeyedPage(all, nextOffset, more, false)));
+	}
+
+	private void expectReads(String... expected) throws InterruptedException {
+		for (String read : expected) {
+			assertThat(this.reads.poll(5, TimeUnit.SECONDS)).isEqualTo(read);
+		}
+	}
+
+	private void follow(Check check) throws Exception {
+		try (Ticker ticker = new Ticker("test");
+				KeyedFollower follower = new KeyedFollower(this.store,
+						new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS), ticker, this.listener)) {
+			check.run();
+		}
+	}
+
+	/**
+	 * Checks that may wait.
+	 */
+	@FunctionalInterface
+	private interface Check {
+
+		void run() throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of keyed streams.
+ */
+package org.rattanhead.platform.keyed;
