--- /dev/null
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
@@ -0,0 +1,88 @@
+package org.rattanhead.client;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.Payload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The other side of an aborted call notices it, also when it only writes.
+ */
+class AbortTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	private static final String CHUNK = "5\r\nevent\r\n";
+
+	private final ReplyObserver ignoring = new ReplyObserver() {
+		@Override
+		public void onHead(HttpHead head) {
+			// Not looked at.
+		}
+
+		@Override
+		public boolean onBytes(Payload bytes) {
+			return true;
+		}
+
+		@Override
+		public void onEnd() {
+			// Not looked at.
+		}
+
+		@Override
+		public void onFailure(CallFailure failure, String detail) {
+			// Not looked at.
+		}
+	};
+
+	@ParameterizedTest(name = "aborted after {0} ms")
+	@ValueSource(longs = { 100, 300 })
+	void anAbortedCallMakesTheOtherSidesWritesFail(long millis) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+				HttpCaller caller = new HttpCaller("test", 1)) {
+			CompletableFuture<Long> failedNanos = CompletableFuture.supplyAsync(() -> writeUntilItFails(listener));
+			OngoingCall call = caller.start(
+					HttpCall.get(new InetSocketAddress("127.0.0.1", listener.getLocalPort()), "/", 20_000),
+					this.ignoring);
+			TimeUnit.MILLISECONDS.sleep(millis);
+			long abortedNanos = System.nanoTime();
+			call.abort();
+			assertThat(failedNanos.get(5, TimeUnit.SECONDS) - abortedNanos).as("time to the first failed write")
+				.isLessThan(TimeUnit.MILLISECONDS.toNanos(500));
+		}
+	}
+
+	private static long writeUntilItFails(ServerSocket listener) {
+		try (Socket socket = listener.accept()) {
+			InputStream in = socket.getInputStream();
+			assertThat(in.read()).isNotNegative();
+			socket.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
+			for (int chunk = 0; chunk < 200; chunk++) {
+				socket.getOutputStream().write(CHUNK.getBytes(StandardCharsets.US_ASCII));
+				TimeUnit.MILLISECONDS.sleep(20);
+			}
+			return Long.MAX_VALUE;
+		}
+		catch (IOException ex) {
+			return System.nanoTime();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Long.MAX_VALUE;
+		}
+	}
+
+}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/EnginePlacementTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/EnginePlacementTests.java
@@ -81,6 +81,19 @@
 		assertThat(rig.all(CallInstance.class)).hasSize(1);
 	}
 
+	@ParameterizedTest(name = "{0} {1} tokens: sent within {2} ms")
+	@CsvSource({ "/ask/, 23000, 1000", "/ask/, 5000, 1000", "/long/, 182000, 6000" })
+	void holdsAPromptNoLongerThanItsCallerWaits(String path, long tokens, long millis) {
+		ForwardRig rig = ForwardRig.configured(4, 0);
+		List<LoadEntry> load = IntStream.range(0, 24)
+			.mapToObj((index) -> new LoadEntry("p" + index, "e" + index % 4, 6_000, 0, 250, 1.4, 9_000))
+			.toList();
+		rig.handle(new PeerLoadStarted("peer", load));
+		rig.submit(path, tokens, ForwardRig.KEY, 1);
+		rig.pass(millis);
+		assertThat(rig.all(CallInstance.class)).hasSize(1);
+	}
+
 	@ParameterizedTest(name = "{0} tokens")
 	@ValueSource(longs = { 500_000, 900_000 })
 	void reservesMemoryForWhatExceedsOneEngine(long tokens) {
