Compute a read time and look up a key once; remove an accessor that nothing calls

Cause: the last reading found the read time of a short prompt and its prediction computed twice, the same key lookup in two branches, and GatewayBoard.draining() without a caller. Ruled out as behaviour: bounds, costs and refusals are unchanged; no test was touched.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayBoard.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayBoard.java
@@ -44,10 +44,6 @@
 		return this.configured && this.instancesKnown && !this.draining;
 	}
 
-	boolean draining() {
-		return this.draining;
-	}
-
 	/**
 	 * Lists the addresses that callers may use now.
 	 * @return the addresses, that of this daemon first if it is ready
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
@@ -80,7 +80,7 @@
 		EngineModel engine = query.engine().orElseThrow();
 		double wholeMillis = engine.readMillis(query.tokens().promptTokens());
 		if (readWhole(engine, query.tokens().promptTokens())) {
-			return Optional.of(whole(query, engine, candidates, nowNanos));
+			return Optional.of(whole(query, engine, wholeMillis, candidates, nowNanos));
 		}
 		return Optional.of(parts(query, engine, wholeMillis, candidates, nowNanos));
 	}
@@ -89,10 +89,10 @@
 		return engine.readMillis(promptTokens) <= WHOLE_READ_MILLIS;
 	}
 
-	private static PlacementPlan whole(PlacementQuery query, EngineModel engine, List<InstanceLoad> candidates,
-			long nowNanos) {
-		double readMillis = engine.readMillis(query.tokens().promptTokens());
+	private static PlacementPlan whole(PlacementQuery query, EngineModel engine, double readMillis,
+			List<InstanceLoad> candidates, long nowNanos) {
 		InstanceLoad best = null;
+		double bestFirstMillis = 0;
 		double bestCost = Double.MAX_VALUE;
 		for (int index = 0; index < candidates.size(); index++) {
 			InstanceLoad load = candidates.get(index);
@@ -102,10 +102,10 @@
 			if (cost < bestCost) {
 				bestCost = cost;
 				best = load;
+				bestFirstMillis = firstMillis;
 			}
 		}
-		double firstMillis = best.backlogMillis(nowNanos) + readMillis + engine.passMillis() + TRANSFER_MILLIS;
-		return new PlacementPlan(best, List.of(), firstMillis, Math.round(readMillis), query.memoryTokens(), 0);
+		return new PlacementPlan(best, List.of(), bestFirstMillis, Math.round(readMillis), query.memoryTokens(), 0);
 	}
 
 	private static PlacementPlan parts(PlacementQuery query, EngineModel engine, double wholeMillis,
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -62,17 +62,14 @@
 	}
 
 	private static String workspace(Configuration configuration, Route route, ForwardRequest request) {
+		Optional<String> workspace = request.key()
+			.map((key) -> configuration.grants().get(key))
+			.map(WorkspaceGrant::workspace);
 		if (route.open() || !configuration.keysRequired()) {
-			return request.key()
-				.map((key) -> configuration.grants().get(key))
-				.map(WorkspaceGrant::workspace)
-				.orElse("");
+			return workspace.orElse("");
 		}
-		return request.key()
-			.map((key) -> configuration.grants().get(key))
-			.map(WorkspaceGrant::workspace)
-			.orElseThrow(() -> new ProblemException(
-					Problem.notRun(ProblemKind.UNAUTHORIZED, "The key is missing or belongs to no workspace.")));
+		return workspace.orElseThrow(() -> new ProblemException(
+				Problem.notRun(ProblemKind.UNAUTHORIZED, "The key is missing or belongs to no workspace.")));
 	}
 
 	private ServiceLimits service(Configuration configuration, Route route) {
