Let one daemon read the platform's streams for all that hear it; accept fractional bounds

Change: ReadTurn decides who reads; a daemon tells the others what it read (StreamNews), with the records if they are small, and the others leave their reads out. A daemon that hears of no reads reads for itself. Failed reads are repeated more and more rarely.

Tests that fail first: GatewaySettingsTests (fraction), ReadTurnTests, KeyedFollowerTests, MeshNetworkTests.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedRecord.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/keyed/KeyedRecord.java
@@ -1,4 +1,4 @@
-package org.rattanhead.platform.keyed;
+package org.rattanhead.core.keyed;
 
 import java.util.Optional;
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedStream.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/keyed/KeyedStream.java
@@ -1,4 +1,4 @@
-package org.rattanhead.platform.keyed;
+package org.rattanhead.core.keyed;
 
 /**
  * The streams of keyed records that a daemon uses.
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -7,12 +7,16 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.client.HttpCaller;
 import org.rattanhead.core.forward.Member;
+import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.daemon.OwnedResources;
 import org.rattanhead.decision.forward.BeatDue;
 import org.rattanhead.decision.forward.ForwardDecider;
@@ -29,8 +33,8 @@
 import org.rattanhead.http.forward.PageContent;
 import org.rattanhead.platform.keyed.FollowPlan;
 import org.rattanhead.platform.keyed.KeyedFollower;
+import org.rattanhead.platform.keyed.KeyedListener;
 import org.rattanhead.platform.keyed.KeyedStore;
-import org.rattanhead.platform.keyed.KeyedStream;
 import org.rattanhead.ring.Duty;
 import org.rattanhead.ring.Ticker;
 import org.rattanhead.ring.Urgency;
@@ -51,19 +55,16 @@
 	private static final long BEAT_MILLIS = 700;
 
 	/**
-	 * How long a read of the operators' records waits. A connection that went silent is
-	 * noticed before the time in which a host has to be in touch again.
+	 * How the operators' records are followed. Pause, wait and yield together stay under
+	 * the platform's time for a configuration to be in force.
 	 */
-	private static final long OPERATORS_WAIT_MILLIS = 1_500;
+	private static final FollowPlan OPERATORS = new FollowPlan(KeyedStream.OPERATORS, 200, 700, 1_000);
 
-	private static final long OPERATORS_PERIOD_MILLIS = 20;
+	/** How instances are followed; under the time to notice a leaving one. */
+	private static final FollowPlan INSTANCES = new FollowPlan(KeyedStream.INSTANCES, 800, 0, 1_000);
 
-	/**
-	 * The pause between reads of the instances; under the time to notice a leaving one.
-	 */
-	private static final long INSTANCES_PERIOD_MILLIS = 1_200;
-
-	private static final long MEMBERS_PERIOD_MILLIS = 5_000;
+	/** How announcements are followed; daemons that know each other need none. */
+	private static final FollowPlan MEMBERS = new FollowPlan(KeyedStream.MEMBERS, 5_000, 0, 15_000);
 
 	private static final long ANNOUNCE_RETRY_MILLIS = 500;
 
@@ -126,7 +127,8 @@
 				now) -> decider.decide(event, now).forEach((command) -> this.router.join().route(command, now))));
 		this.caller = own(new HttpCaller("calls", 1));
 		this.storeCaller = own(new HttpCaller("store", 1));
-		MeshDuty mesh = own(new MeshDuty(this.self, settings.meshAddress(), this.board, this.decisions));
+		StreamFollowers followers = own(new StreamFollowers());
+		MeshDuty mesh = own(new MeshDuty(this.self, settings.meshAddress(), this.board, this.decisions, followers));
 		ForwardCallDuty calls = own(new ForwardCallDuty(this.caller, new InstanceCodec(), this.decisions));
 		this.frontEnd = own(
 				new ForwardFrontEnd(settings.host(), callers(), new CallerCodec(), this.decisions, pages()));
@@ -135,7 +137,16 @@
 		this.ticker = own(new Ticker("ticker"));
 		this.ticker.every(TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(BEAT_MILLIS, () -> this.decisions.offer(new BeatDue(), Urgency.STREAM));
-		follow(new HouseStore(this.storeCaller, settings.storeAddress()), mesh);
+		KeyedStore store = new HouseStore(this.storeCaller, settings.storeAddress());
+		Consumer<StreamNews> news = (read) -> mesh.offer(new NewsToTell(read));
+		BiFunction<FollowPlan, KeyedListener, KeyedFollower> follow = (plan,
+				listener) -> new KeyedFollower(settings.host(), store, plan, this.ticker, listener, news);
+		followers.add(KeyedStream.OPERATORS, follow.apply(OPERATORS, new OperatorFeed(this.decisions, this.board)));
+		followers.add(KeyedStream.INSTANCES,
+				follow.apply(INSTANCES, new InstanceFeed(this.decisions, this.board, System::nanoTime)));
+		followers.add(KeyedStream.MEMBERS,
+				follow.apply(MEMBERS, new MemberFeed((member) -> mesh.offer(new MemberLearned(member)))));
+		announce(store);
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -172,17 +183,6 @@
 		return this.caller.open();
 	}
 
-	private void follow(KeyedStore store, MeshDuty mesh) {
-		own(new KeyedFollower(store,
-				new FollowPlan(KeyedStream.OPERATORS, OPERATORS_PERIOD_MILLIS, OPERATORS_WAIT_MILLIS), this.ticker,
-				new OperatorFeed(this.decisions, this.board)));
-		own(new KeyedFollower(store, new FollowPlan(KeyedStream.INSTANCES, INSTANCES_PERIOD_MILLIS, 0), this.ticker,
-				new InstanceFeed(this.decisions, this.board, System::nanoTime)));
-		own(new KeyedFollower(store, new FollowPlan(KeyedStream.MEMBERS, MEMBERS_PERIOD_MILLIS, 0), this.ticker,
-				new MemberFeed((member) -> mesh.offer(new MemberLearned(member)))));
-		announce(store);
-	}
-
 	private void announce(KeyedStore store) {
 		store.put(KeyedStream.MEMBERS, this.self.host(), MemberRecords.encode(this.self))
 			.whenComplete((done, failure) -> {
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
@@ -56,7 +56,7 @@
 	}
 
 	private ForwardLimits limits(SectionReader section) {
-		return new ForwardLimits(section.decimal("retry-ratio", 0, 1), section.integer("retry-slack", 0, MAX_SLACK),
+		return new ForwardLimits(section.decimal("retry-ratio", 0, 1), section.decimal("retry-slack", 0, MAX_SLACK),
 				section.durationMillis("retry-window"), section.durationMillis("max-hold"));
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceFeed.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceFeed.java
@@ -8,12 +8,12 @@
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.InstancesChanged;
 import org.rattanhead.decision.register.InstanceRegister;
 import org.rattanhead.house.InstanceDecoder;
 import org.rattanhead.platform.keyed.KeyedListener;
-import org.rattanhead.platform.keyed.KeyedRecord;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberFeed.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberFeed.java
@@ -4,8 +4,8 @@
 import java.util.function.Consumer;
 
 import org.rattanhead.core.forward.Member;
+import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.platform.keyed.KeyedListener;
-import org.rattanhead.platform.keyed.KeyedRecord;
 
 /**
  * Hands on the announcements of daemons.
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -10,6 +10,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberBeat;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.PeerBeatHeard;
 import org.rattanhead.decision.forward.PeerLoadEnded;
@@ -38,6 +39,8 @@
 
 	private final EventSink<ForwardEvent> decisions;
 
+	private final StreamFollowers followers;
+
 	private final MemberTable table;
 
 	private final MeshNetwork network;
@@ -46,10 +49,12 @@
 
 	private int counted = 1;
 
-	MeshDuty(Member self, InetSocketAddress address, GatewayBoard board, EventSink<ForwardEvent> decisions) {
+	MeshDuty(Member self, InetSocketAddress address, GatewayBoard board, EventSink<ForwardEvent> decisions,
+			StreamFollowers followers) {
 		this.self = self;
 		this.board = board;
 		this.decisions = decisions;
+		this.followers = followers;
 		this.table = new MemberTable(self.host());
 		HandlerTable<MeshEvent, Boolean> handlers = new HandlerTable<MeshEvent, Boolean>()
 			.on(MemberLearned.class, (event, now) -> {
@@ -66,6 +71,10 @@
 				network().loadEnded(this.table.recipients(), event.command().keys());
 				return true;
 			})
+			.on(NewsToTell.class, (event, now) -> {
+				network().streamNews(this.table.recipients(), event.news());
+				return true;
+			})
 			.covering(MeshEvent.class);
 		this.network = new MeshNetwork(self.host(), address, this);
 		this.duty = new Duty<>("mesh", RING_SLOTS, System::nanoTime, handlers::handle);
@@ -90,6 +99,11 @@
 		this.decisions.offer(new PeerLoadEnded(host, keys), Urgency.STREAM);
 	}
 
+	@Override
+	public void onStreamNews(String host, StreamNews news) {
+		this.followers.tell(host, news);
+	}
+
 	private MeshNetwork network() {
 		return this.network;
 	}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorFeed.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorFeed.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.forward.Configuration;
+import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.problem.RemedyException;
 import org.rattanhead.decision.forward.ConfigurationApplied;
 import org.rattanhead.decision.forward.DomainsEvacuated;
@@ -15,7 +16,6 @@
 import org.rattanhead.house.ConfigurationDecoder;
 import org.rattanhead.house.OperatorRecords;
 import org.rattanhead.platform.keyed.KeyedListener;
-import org.rattanhead.platform.keyed.KeyedRecord;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
 
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
@@ -42,12 +42,13 @@
 	@TempDir
 	private Path folder;
 
-	@ParameterizedTest(name = "{0}")
-	@ValueSource(strings = { GOOD })
-	void readsEverySetting(String text) throws Exception {
-		GatewaySettings settings = GatewaySettingsFile.parse(file(text));
+	@ParameterizedTest(name = "retry-slack = {0}")
+	@ValueSource(strings = { "106", "43.50877192982456", "0" })
+	void readsEverySetting(String slack) throws Exception {
+		GatewaySettings settings = GatewaySettingsFile
+			.parse(file(GOOD.replace("retry-slack = 106", "retry-slack = " + slack)));
 		assertThat(settings.limits().retryRatio()).isEqualTo(0.2);
-		assertThat(settings.limits().retrySlack()).isEqualTo(106);
+		assertThat(settings.limits().retrySlack()).isEqualTo(Double.parseDouble(slack));
 		assertThat(settings.graceMillis()).isEqualTo(8_000);
 		assertThat(settings.meshAddress().getPort()).isEqualTo(4);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardLimits.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardLimits.java
@@ -8,5 +8,5 @@
  * @param retryWindowMillis the window, in milliseconds
  * @param maxHoldMillis the longest time that memory may be reserved, in milliseconds
  */
-public record ForwardLimits(double retryRatio, long retrySlack, long retryWindowMillis, long maxHoldMillis) {
+public record ForwardLimits(double retryRatio, double retrySlack, long retryWindowMillis, long maxHoldMillis) {
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RetryBudget.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RetryBudget.java
@@ -40,7 +40,7 @@
 
 	boolean allows(String service, long nowNanos) {
 		double allowed = this.limits.retryRatio() * count(this.requestNanos, service, nowNanos)
-				+ (double) this.limits.retrySlack() / this.daemons;
+				+ this.limits.retrySlack() / this.daemons;
 		return count(this.retryNanos, service, nowNanos) + 1 <= allowed * USED_SHARE;
 	}
 
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -1,17 +1,27 @@
 package org.rattanhead.peer.internal;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
+import com.google.protobuf.ByteString;
+
+import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberBeat;
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.messages.MeshBeat;
 import org.rattanhead.messages.MeshCrash;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshLoad;
 import org.rattanhead.messages.MeshLoadEnded;
 import org.rattanhead.messages.MeshLoadStarted;
+import org.rattanhead.messages.MeshRecord;
+import org.rattanhead.messages.MeshStreamNews;
 import org.rattanhead.peer.mesh.MeshListener;
 
 /**
@@ -67,6 +77,25 @@
 			.build();
 	}
 
+	/**
+	 * Encodes what was read from a stream.
+	 * @param host the host of the sender
+	 * @param news what was read
+	 * @return the datagram
+	 */
+	public static MeshDatagram streamNews(String host, StreamNews news) {
+		MeshStreamNews.Builder builder = MeshStreamNews.newBuilder()
+			.setStream(news.stream().name())
+			.setFromOffset(news.fromOffset())
+			.setNextOffset(news.nextOffset());
+		for (KeyedRecord record : news.records()) {
+			MeshRecord.Builder encoded = MeshRecord.newBuilder().setKey(record.key());
+			record.value().ifPresent((value) -> encoded.setValue(ByteString.copyFrom(value.bytes())));
+			builder.addRecords(encoded);
+		}
+		return MeshDatagram.newBuilder().setHost(host).setStreamNews(builder).build();
+	}
+
 	/**
 	 * Decodes a datagram and hands it on. One without a known body is dropped, since a
 	 * later version may have sent it.
@@ -80,6 +109,8 @@
 					datagram.getLoadStarted().getLoadList().stream().map(MeshCodec::decode).toList());
 			case LOAD_ENDED ->
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
+			case STREAM_NEWS ->
+				decode(datagram.getStreamNews()).ifPresent((news) -> listener.onStreamNews(datagram.getHost(), news));
 			default -> {
 				// Nothing of this version.
 			}
@@ -96,6 +127,20 @@
 					.toList());
 	}
 
+	private static Optional<StreamNews> decode(MeshStreamNews news) {
+		// A later version may follow further streams.
+		return Arrays.stream(KeyedStream.values())
+			.filter((stream) -> stream.name().equals(news.getStream()))
+			.findFirst()
+			.map((stream) -> new StreamNews(stream, news.getFromOffset(), news.getNextOffset(),
+					news.getRecordsList().stream().map(MeshCodec::decode).toList()));
+	}
+
+	private static KeyedRecord decode(MeshRecord record) {
+		return new KeyedRecord(record.getKey(),
+				record.hasValue() ? Optional.of(new Payload(record.getValue().toByteArray())) : Optional.empty());
+	}
+
 	private static MeshLoad encode(LoadEntry entry) {
 		return MeshLoad.newBuilder()
 			.setKey(entry.key())
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
@@ -4,6 +4,7 @@
 
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.MemberBeat;
+import org.rattanhead.core.keyed.StreamNews;
 
 /**
  * Hears the datagrams of other daemons, on an I/O thread.
@@ -30,4 +31,11 @@
 	 */
 	void onLoadEnded(String host, List<String> keys);
 
+	/**
+	 * Another daemon read a stream of the platform.
+	 * @param host its host
+	 * @param news what it found
+	 */
+	void onStreamNews(String host, StreamNews news);
+
 }
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -25,6 +25,7 @@
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberBeat;
 import org.rattanhead.core.host.HostAddress;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.peer.internal.MeshCodec;
 
@@ -93,6 +94,15 @@
 		send(to, MeshCodec.loadEnded(this.self, keys));
 	}
 
+	/**
+	 * Tells what was read from a stream of the platform.
+	 * @param to the daemons to tell
+	 * @param news what was read
+	 */
+	public void streamNews(List<Member> to, StreamNews news) {
+		send(to, MeshCodec.streamNews(this.self, news));
+	}
+
 	private void send(List<Member> to, MeshDatagram datagram) {
 		byte[] bytes = datagram.toByteArray();
 		for (Member member : to) {
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -5,18 +5,24 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberBeat;
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamNews;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -42,6 +48,11 @@
 		public void onLoadEnded(String host, List<String> keys) {
 			MeshNetworkTests.this.arrived.add(keys);
 		}
+
+		@Override
+		public void onStreamNews(String host, StreamNews news) {
+			MeshNetworkTests.this.arrived.add(news);
+		}
 	};
 
 	@ParameterizedTest(name = "{0} entries")
@@ -56,6 +67,19 @@
 		}
 	}
 
+	@ParameterizedTest(name = "news of {0}")
+	@EnumSource(KeyedStream.class)
+	void carriesNews(KeyedStream stream) throws Exception {
+		InetSocketAddress address = free();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort());
+		StreamNews news = new StreamNews(stream, 3, 6, List.of(new KeyedRecord("a", Optional.of(Payload.of("v"))),
+				new KeyedRecord("b", Optional.of(Payload.of(""))), new KeyedRecord("c", Optional.empty())));
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.streamNews(List.of(member), news);
+			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(news);
+		}
+	}
+
 	@ParameterizedTest(name = "{0} bytes")
 	@ValueSource(ints = { 0, 1, 500 })
 	void dropsForeignDatagrams(int length) throws Exception {
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/FollowEvent.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/FollowEvent.java
@@ -1,11 +1,8 @@
 package org.rattanhead.platform.keyed;
 
 /**
- * What a {@link KeyedFollower} handles: a page, a failure, or, with neither, that a read
- * is due.
- *
- * @param page the page
- * @param failure the failure
+ * What a {@link KeyedFollower} handles.
  */
-record FollowEvent(KeyedPage page, Throwable failure) {
+sealed interface FollowEvent permits ReadDue, PageArrived, ReadFailed, NewsHeard {
+
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -2,18 +2,24 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
+import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.ring.Duty;
 import org.rattanhead.ring.Ticker;
 import org.rattanhead.ring.Urgency;
 
 /**
  * The duty that follows a stream: first the newest record of each key, then changes as
- * they come. After a gap it starts again with the newest records.
+ * they come. After a gap it starts again with the newest records. Daemons tell each other
+ * what they read, so that one of them reads for all.
  */
 public final class KeyedFollower implements AutoCloseable {
 
@@ -21,8 +27,8 @@
 
 	private static final int RING_SLOTS = 64;
 
-	/** The pause after a failed read, so that a store in trouble is not pressed. */
-	private static final long RETRY_MILLIS = 300;
+	/** The most bytes of keys and values that are passed on to other daemons. */
+	private static final int MAX_NEWS_BYTES = 4_096;
 
 	private static final long NO_OFFSET = -1;
 
@@ -34,6 +40,10 @@
 
 	private final Ticker ticker;
 
+	private final Consumer<StreamNews> others;
+
+	private final ReadTurn turn;
+
 	private final Duty<FollowEvent> duty;
 
 	private final List<KeyedRecord> collected = new ArrayList<>();
@@ -44,96 +54,167 @@
 
 	private boolean snapshot = true;
 
+	private boolean reading;
+
+	private long timer;
+
 	/**
 	 * Starts to follow a stream.
+	 * @param self the host of this daemon
 	 * @param store the store
 	 * @param plan how to follow
 	 * @param ticker waits between reads
 	 * @param listener hears what is read
+	 * @param others tells the other daemons what is read
 	 */
-	public KeyedFollower(KeyedStore store, FollowPlan plan, Ticker ticker, KeyedListener listener) {
+	public KeyedFollower(String self, KeyedStore store, FollowPlan plan, Ticker ticker, KeyedListener listener,
+			Consumer<StreamNews> others) {
 		this.store = store;
 		this.plan = plan;
 		this.ticker = ticker;
 		this.listener = listener;
-		this.duty = new Duty<>("follow-" + plan.stream(), RING_SLOTS, System::nanoTime, this::handle);
-		this.duty.offer(new FollowEvent(null, null), Urgency.CONTROL);
+		this.others = others;
+		this.turn = new ReadTurn(self, plan, new Random(), System.nanoTime());
+		HandlerTable<FollowEvent, Boolean> handlers = new HandlerTable<FollowEvent, Boolean>()
+			.on(ReadDue.class, (event, now) -> event.timer() == this.timer && due(now))
+			.on(PageArrived.class, (event, now) -> arrived(event, now))
+			.on(ReadFailed.class, (event, now) -> failed(event.failure(), now))
+			.on(NewsHeard.class, (event, now) -> heard(event, now))
+			.covering(FollowEvent.class);
+		this.duty = new Duty<>("follow-" + plan.stream(), RING_SLOTS, System::nanoTime, handlers::handle);
+		this.duty.offer(new ReadDue(this.timer), Urgency.CONTROL);
 	}
 
-	private void handle(FollowEvent event, long nowNanos) {
-		if (event.failure() != null) {
-			failed(event.failure());
-		}
-		else if (event.page() == null) {
-			read();
+	/**
+	 * Takes what another daemon read.
+	 * @param host its host
+	 * @param news what it found
+	 */
+	public void tell(String host, StreamNews news) {
+		this.duty.offer(new NewsHeard(host, news), Urgency.STREAM);
+	}
+
+	private boolean due(long nowNanos) {
+		if (this.reading) {
+			return false;
 		}
-		else {
-			arrived(event.page());
+		if (this.turn.waitMillis(nowNanos) > 0) {
+			awaitTurn(nowNanos);
+			return false;
 		}
+		read(nowNanos);
+		return true;
 	}
 
-	private void read() {
-		// A read that waits would hang on long after the store is back, if its answer is
-		// lost.
+	private void read(long nowNanos) {
+		this.reading = true;
 		String afterKey = this.collected.isEmpty() ? "" : this.collected.get(this.collected.size() - 1).key();
+		long fromOffset = this.nextOffset;
+		// A read that waits hangs on for long if its answer is lost. Only the reader for
+		// all waits, and not before the store has answered again.
+		long waitMillis = (this.turn.reader(nowNanos) && !this.lost) ? this.plan.waitMillis() : 0;
 		CompletableFuture<KeyedPage> page = this.snapshot ? this.store.newest(this.plan.stream(), afterKey)
-				: this.store.changes(this.plan.stream(), this.nextOffset, this.lost ? 0 : this.plan.waitMillis());
-		page.whenComplete((found, failure) -> this.duty.offer(new FollowEvent(found, failure), Urgency.CONTROL));
+				: this.store.changes(this.plan.stream(), fromOffset, waitMillis);
+		page.whenComplete((found, failure) -> this.duty
+			.offer((failure != null) ? new ReadFailed(failure) : new PageArrived(fromOffset, found), Urgency.CONTROL));
 	}
 
-	private void arrived(KeyedPage page) {
-		if (this.lost) {
-			this.lost = false;
-			LOGGER.info("platform: stream {} can be read again", this.plan.stream());
-		}
+	private boolean arrived(PageArrived event, long nowNanos) {
+		this.reading = false;
+		found();
+		KeyedPage page = event.page();
 		if (page.trimmed()) {
 			LOGGER.info("platform: stream {} has a gap; reading the newest records", this.plan.stream());
 			this.snapshot = true;
 			this.nextOffset = NO_OFFSET;
-			readAfter(0);
+			read(nowNanos);
 		}
 		else if (this.snapshot) {
-			collect(page);
+			collect(page, nowNanos);
 		}
 		else {
-			this.nextOffset = page.nextOffset();
-			this.listener.onChanges(page.records());
-			readAfter(this.plan.periodMillis());
+			changed(event.fromOffset(), page, nowNanos);
 		}
+		return true;
 	}
 
-	private void collect(KeyedPage page) {
+	private void collect(KeyedPage page, long nowNanos) {
 		this.collected.addAll(page.records());
 		this.nextOffset = (this.nextOffset == NO_OFFSET) ? page.nextOffset() : this.nextOffset;
 		if (page.more()) {
-			readAfter(0);
+			read(nowNanos);
 			return;
 		}
 		this.snapshot = false;
 		this.listener.onNewest(List.copyOf(this.collected));
 		this.collected.clear();
-		readAfter(this.plan.periodMillis());
+		this.turn.completed(nowNanos);
+		awaitTurn(nowNanos);
 	}
 
-	private void failed(Throwable failure) {
+	private void changed(long fromOffset, KeyedPage page, long nowNanos) {
+		// What another daemon told meanwhile is among the records; applying them again
+		// ends in the same state.
+		if (page.nextOffset() >= this.nextOffset) {
+			this.nextOffset = page.nextOffset();
+			this.listener.onChanges(page.records());
+			this.others.accept(news(fromOffset, page));
+		}
+		this.turn.completed(nowNanos);
+		awaitTurn(nowNanos);
+	}
+
+	private StreamNews news(long fromOffset, KeyedPage page) {
+		int bytes = 0;
+		for (KeyedRecord record : page.records()) {
+			bytes += record.key().length() + record.value().map((value) -> value.length()).orElse(0);
+		}
+		boolean small = bytes <= MAX_NEWS_BYTES && page.records().size() == page.nextOffset() - fromOffset;
+		return new StreamNews(this.plan.stream(), small ? fromOffset : page.nextOffset(), page.nextOffset(),
+				small ? page.records() : List.of());
+	}
+
+	private boolean heard(NewsHeard event, long nowNanos) {
+		StreamNews news = event.news();
+		if (this.snapshot || news.nextOffset() < this.nextOffset) {
+			return false;
+		}
+		this.turn.heard(event.host(), nowNanos);
+		if (news.nextOffset() > this.nextOffset && news.fromOffset() != this.nextOffset) {
+			this.turn.due(nowNanos);
+			return due(nowNanos);
+		}
+		this.listener.onChanges((news.nextOffset() > this.nextOffset) ? news.records() : List.of());
+		this.nextOffset = news.nextOffset();
+		return true;
+	}
+
+	private boolean failed(Throwable failure, long nowNanos) {
+		this.reading = false;
 		if (!this.lost) {
 			this.lost = true;
 			LOGGER.warn("platform: stream {} cannot be read; going on with what is known: {}", this.plan.stream(),
 					failure.getMessage());
 		}
 		this.listener.onLost();
-		readAfter(RETRY_MILLIS);
+		this.turn.failed(nowNanos);
+		awaitTurn(nowNanos);
+		return false;
 	}
 
-	private void readAfter(long millis) {
-		if (millis > 0) {
-			this.ticker.after(millis, () -> this.duty.offer(new FollowEvent(null, null), Urgency.CONTROL));
-		}
-		else {
-			read();
+	private void found() {
+		if (this.lost) {
+			this.lost = false;
+			LOGGER.info("platform: stream {} can be read again", this.plan.stream());
 		}
 	}
 
+	private void awaitTurn(long nowNanos) {
+		this.timer++;
+		ReadDue due = new ReadDue(this.timer);
+		this.ticker.after(this.turn.waitMillis(nowNanos), () -> this.duty.offer(due, Urgency.CONTROL));
+	}
+
 	@Override
 	public void close() {
 		this.duty.close();
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedListener.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedListener.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.rattanhead.core.keyed.KeyedRecord;
+
 /**
  * Hears what a {@link KeyedFollower} reads, on the thread of its duty.
  */
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.rattanhead.core.keyed.KeyedRecord;
+
 /**
  * Records that were read.
  *
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedStore.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedStore.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.keyed.KeyedStream;
 
 /**
  * Reads and writes keyed records. Failures complete the futures with a
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamNews;
 import org.rattanhead.ring.Ticker;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,6 +31,8 @@
 
 	private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<StreamNews> told = new LinkedBlockingQueue<>();
+
 	private final List<CompletableFuture<KeyedPage>> script = new ArrayList<>();
 
 	private final KeyedStore store = new KeyedStore() {
@@ -121,6 +126,52 @@
 		});
 	}
 
+	@ParameterizedTest(name = "{0}")
+	@CsvSource({ "the next records are applied, 5, 7, changes 2, ''", "nothing new is known again, 5, 5, changes 0, ''",
+			"records that are left out are read, 7, 7, changes 3, from 5 wait 0",
+			"records after a gap are read, 6, 7, changes 3, from 5 wait 0", "older news are ignored, 3, 4, '', ''" })
+	void takesWhatAnotherDaemonRead(String name, long from, long next, String change, String read) throws Exception {
+		page(5, 1, false);
+		CompletableFuture<KeyedPage> answer = new CompletableFuture<>();
+		this.script.add(answer);
+		List<KeyedRecord> records = new ArrayList<>();
+		for (long offset = from; offset < next; offset++) {
+			records.add(new KeyedRecord("n" + offset, Optional.of(Payload.of("v"))));
+		}
+		answer.complete(new KeyedPage(List.of(record("a"), record("b"), record("c")), 8, false, false));
+		follow(new FollowPlan(KeyedStream.OPERATORS, 60_000, WAIT_MILLIS, 60_000), (follower) -> {
+			expectReads("newest ");
+			assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 1");
+			follower.tell("0", new StreamNews(KeyedStream.OPERATORS, from, next, records));
+			if (!read.isEmpty()) {
+				expectReads(read);
+			}
+			assertThat(this.heard.poll(change.isEmpty() ? 100 : 5_000, TimeUnit.MILLISECONDS))
+				.isEqualTo(change.isEmpty() ? null : change);
+		});
+	}
+
+	@ParameterizedTest(name = "{0} records of {1} bytes: told from {2}")
+	@CsvSource({ "0, 10, 5", "2, 10, 5", "2, 5000, 7" })
+	void tellsWhatItRead(int records, int bytes, long from) throws Exception {
+		page(5, 1, false);
+		List<KeyedRecord> read = new ArrayList<>();
+		for (int record = 0; record < records; record++) {
+			read.add(new KeyedRecord("k", Optional.of(Payload.of("v".repeat(bytes)))));
+		}
+		this.script.add(CompletableFuture.completedFuture(new KeyedPage(read, 5 + records, false, false)));
+		follow(() -> {
+			StreamNews news = this.told.poll(5, TimeUnit.SECONDS);
+			assertThat(news.fromOffset()).isEqualTo(from);
+			assertThat(news.nextOffset()).isEqualTo(5 + records);
+			assertThat(news.records()).hasSize((int) (news.nextOffset() - from));
+		});
+	}
+
+	private static KeyedRecord record(String key) {
+		return new KeyedRecord(key, Optional.of(Payload.of("v")));
+	}
+
 	private void page(long nextOffset, int records, boolean more) {
 		List<KeyedRecord> all = new ArrayList<>();
 		for (int record = 0; record < records; record++) {
@@ -136,10 +187,14 @@
 	}
 
 	private void follow(Check check) throws Exception {
+		follow(new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS, 0), (follower) -> check.run());
+	}
+
+	private void follow(FollowPlan plan, FollowerCheck check) throws Exception {
 		try (Ticker ticker = new Ticker("test");
-				KeyedFollower follower = new KeyedFollower(this.store,
-						new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS), ticker, this.listener)) {
-			check.run();
+				KeyedFollower follower = new KeyedFollower("1", this.store, plan, ticker, this.listener,
+						this.told::add)) {
+			check.run(follower);
 		}
 	}
 
@@ -153,4 +208,14 @@
 
 	}
 
+	/**
+	 * Checks on a follower that may wait.
+	 */
+	@FunctionalInterface
+	private interface FollowerCheck {
+
+		void run(KeyedFollower follower) throws Exception;
+
+	}
+
 }
