--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.CrashReport;
@@ -21,6 +22,7 @@
 import org.rattanhead.messages.MeshLoadEnded;
 import org.rattanhead.messages.MeshLoadStarted;
 import org.rattanhead.messages.MeshRecord;
+import org.rattanhead.messages.MeshRecords;
 import org.rattanhead.messages.MeshStreamNews;
 import org.rattanhead.peer.mesh.MeshListener;
 
@@ -84,16 +86,19 @@
 	 * @return the datagram
 	 */
 	public static MeshDatagram streamNews(String host, StreamNews news) {
-		MeshStreamNews.Builder builder = MeshStreamNews.newBuilder()
-			.setStream(news.stream().name())
-			.setFromOffset(news.fromOffset())
-			.setNextOffset(news.nextOffset());
+		MeshRecords.Builder records = MeshRecords.newBuilder();
 		for (KeyedRecord record : news.records()) {
 			MeshRecord.Builder encoded = MeshRecord.newBuilder().setKey(record.key());
 			record.value().ifPresent((value) -> encoded.setValue(ByteString.copyFrom(value.bytes())));
-			builder.addRecords(encoded);
+			records.addRecords(encoded);
 		}
-		return MeshDatagram.newBuilder().setHost(host).setStreamNews(builder).build();
+		MeshStreamNews encoded = MeshStreamNews.newBuilder()
+			.setStream(news.stream().name())
+			.setFromOffset(news.fromOffset())
+			.setNextOffset(news.nextOffset())
+			.setPackedRecords(ByteString.copyFrom(Packing.pack(records.build().toByteArray())))
+			.build();
+		return MeshDatagram.newBuilder().setHost(host).setStreamNews(encoded).build();
 	}
 
 	/**
@@ -101,16 +106,16 @@
 	 * later version may have sent it.
 	 * @param datagram the datagram
 	 * @param listener hears it
+	 * @throws InvalidProtocolBufferException if it is damaged
 	 */
-	public static void deliver(MeshDatagram datagram, MeshListener listener) {
+	public static void deliver(MeshDatagram datagram, MeshListener listener) throws InvalidProtocolBufferException {
 		switch (datagram.getBodyCase()) {
 			case BEAT -> listener.onBeat(decode(datagram.getHost(), datagram.getBeat()));
 			case LOAD_STARTED -> listener.onLoadStarted(datagram.getHost(),
 					datagram.getLoadStarted().getLoadList().stream().map(MeshCodec::decode).toList());
 			case LOAD_ENDED ->
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
-			case STREAM_NEWS ->
-				decode(datagram.getStreamNews()).ifPresent((news) -> listener.onStreamNews(datagram.getHost(), news));
+			case STREAM_NEWS -> deliver(datagram.getHost(), datagram.getStreamNews(), listener);
 			default -> {
 				// Nothing of this version.
 			}
@@ -127,13 +132,18 @@
 					.toList());
 	}
 
-	private static Optional<StreamNews> decode(MeshStreamNews news) {
+	private static void deliver(String host, MeshStreamNews news, MeshListener listener)
+			throws InvalidProtocolBufferException {
+		List<KeyedRecord> records = MeshRecords.parseFrom(Packing.unpack(news.getPackedRecords().toByteArray()))
+			.getRecordsList()
+			.stream()
+			.map(MeshCodec::decode)
+			.toList();
 		// A later version may follow further streams.
-		return Arrays.stream(KeyedStream.values())
+		Arrays.stream(KeyedStream.values())
 			.filter((stream) -> stream.name().equals(news.getStream()))
-			.findFirst()
-			.map((stream) -> new StreamNews(stream, news.getFromOffset(), news.getNextOffset(),
-					news.getRecordsList().stream().map(MeshCodec::decode).toList()));
+			.forEach((stream) -> listener.onStreamNews(host,
+					new StreamNews(stream, news.getFromOffset(), news.getNextOffset(), records)));
 	}
 
 	private static KeyedRecord decode(MeshRecord record) {
--- /dev/null
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/Packing.java
@@ -0,0 +1,63 @@
+package org.rattanhead.peer.internal;
+
+import java.io.ByteArrayOutputStream;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+
+/**
+ * Compresses what is too long for a short datagram.
+ */
+final class Packing {
+
+	private static final int BUFFER_BYTES = 2_048;
+
+	/** The most that is unpacked, so that a damaged datagram cannot fill the memory. */
+	private static final int MAX_BYTES = 256 * 1024;
+
+	private Packing() {
+	}
+
+	static byte[] pack(byte[] bytes) {
+		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+		try {
+			deflater.setInput(bytes);
+			deflater.finish();
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			byte[] buffer = new byte[BUFFER_BYTES];
+			while (!deflater.finished()) {
+				out.write(buffer, 0, deflater.deflate(buffer));
+			}
+			return out.toByteArray();
+		}
+		finally {
+			deflater.end();
+		}
+	}
+
+	static byte[] unpack(byte[] packed) throws InvalidProtocolBufferException {
+		Inflater inflater = new Inflater();
+		try {
+			inflater.setInput(packed);
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			byte[] buffer = new byte[BUFFER_BYTES];
+			while (!inflater.finished()) {
+				int count = inflater.inflate(buffer);
+				if (count == 0 || out.size() + count > MAX_BYTES) {
+					throw new InvalidProtocolBufferException("The records are damaged or too long; dropped");
+				}
+				out.write(buffer, 0, count);
+			}
+			return out.toByteArray();
+		}
+		catch (DataFormatException ex) {
+			throw new InvalidProtocolBufferException("The records are not compressed; dropped", ex);
+		}
+		finally {
+			inflater.end();
+		}
+	}
+
+}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -27,8 +27,11 @@
 
 	private static final int RING_SLOTS = 64;
 
-	/** The most bytes of keys and values that are passed on to other daemons. */
-	private static final int MAX_NEWS_BYTES = 4_096;
+	/**
+	 * The most bytes of keys and values that are passed on to other daemons; a datagram
+	 * carries them even if they do not compress.
+	 */
+	private static final int MAX_NEWS_BYTES = 32 * 1024;
 
 	private static final long NO_OFFSET = -1;
 
