Let 24 daemons of a large fleet serve and the others stand by; tick only while requests run

Each daemon sent each beat and each start and end of work to all others: about 28,000 datagrams a second, each waking three threads, besides 50 ticks a second in idle daemons. Shares of the retry budget and of cold limits were cut in 86.

Change: ServingTurn keeps 24 daemons serving: callers are sent to them and they tell each other of work; the others send each third beat, to the serving ones only. Fleets of up to 24 daemons serve as before. Ticks run while requests or reservations are in progress. Only serving daemons tell what they read.

--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberBeat.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberBeat.java
@@ -7,10 +7,11 @@
  *
  * @param member the daemon
  * @param ready whether callers may use it
+ * @param serving whether it is one of the daemons that are named to callers
  * @param configurationVersion the version it has in force
  * @param load all work it has placed
  * @param crashes the requests that broke instances lately
  */
-public record MemberBeat(Member member, boolean ready, long configurationVersion, List<LoadEntry> load,
+public record MemberBeat(Member member, boolean ready, boolean serving, long configurationVersion, List<LoadEntry> load,
 		List<CrashReport> crashes) {
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
@@ -49,8 +50,12 @@
 
 	private static final int RING_SLOTS = 8_192;
 
+	/** The period of ticks while requests are in progress. */
 	private static final long TICK_MILLIS = 20;
 
+	/** The period of ticks besides, for what grows old. */
+	private static final long IDLE_TICK_MILLIS = 500;
+
 	/** The period of beats; three of them fit in the silence that counts as death. */
 	private static final long BEAT_MILLIS = 700;
 
@@ -103,6 +108,8 @@
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
+	private final AtomicBoolean tickDue = new AtomicBoolean();
+
 	private final Duty<ForwardEvent> decisions;
 
 	private final ForwardFrontEnd frontEnd;
@@ -122,9 +129,14 @@
 		this.self = new Member(settings.host(), System.currentTimeMillis(), text(settings.callersAddress()),
 				text(settings.meshAddress()));
 		this.board = new GatewayBoard(this.self);
+		this.ticker = own(new Ticker("ticker"));
 		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
-		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event,
-				now) -> decider.decide(event, now).forEach((command) -> this.router.join().route(command, now))));
+		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> {
+			decider.decide(event, now).forEach((command) -> this.router.join().route(command, now));
+			if (decider.busy()) {
+				tickLater();
+			}
+		}));
 		this.caller = own(new HttpCaller("calls", 1));
 		this.storeCaller = own(new HttpCaller("store", 1));
 		StreamFollowers followers = own(new StreamFollowers());
@@ -134,13 +146,12 @@
 				new ForwardFrontEnd(settings.host(), callers(), new CallerCodec(), this.decisions, pages()));
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics,
 				() -> this.drained.complete(null)));
-		this.ticker = own(new Ticker("ticker"));
-		this.ticker.every(TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
+		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(BEAT_MILLIS, () -> this.decisions.offer(new BeatDue(), Urgency.STREAM));
 		KeyedStore store = new HouseStore(this.storeCaller, settings.storeAddress());
 		Consumer<StreamNews> news = (read) -> mesh.offer(new NewsToTell(read));
-		BiFunction<FollowPlan, KeyedListener, KeyedFollower> follow = (plan,
-				listener) -> new KeyedFollower(settings.host(), store, plan, this.ticker, listener, news);
+		BiFunction<FollowPlan, KeyedListener, KeyedFollower> follow = (plan, listener) -> new KeyedFollower(store, plan,
+				this.ticker, listener, news);
 		followers.add(KeyedStream.OPERATORS, follow.apply(OPERATORS, new OperatorFeed(this.decisions, this.board)));
 		followers.add(KeyedStream.INSTANCES,
 				follow.apply(INSTANCES, new InstanceFeed(this.decisions, this.board, System::nanoTime)));
@@ -183,6 +194,15 @@
 		return this.caller.open();
 	}
 
+	private void tickLater() {
+		if (this.tickDue.compareAndSet(false, true)) {
+			this.ticker.after(TICK_MILLIS, () -> {
+				this.tickDue.set(false);
+				this.decisions.offer(new ForwardTick(), Urgency.STREAM);
+			});
+		}
+	}
+
 	private void announce(KeyedStore store) {
 		store.put(KeyedStream.MEMBERS, this.self.host(), MemberRecords.encode(this.self))
 			.whenComplete((done, failure) -> {
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayBoard.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayBoard.java
@@ -18,6 +18,8 @@
 
 	private volatile boolean draining;
 
+	private volatile boolean serving;
+
 	private volatile List<Member> others = List.of();
 
 	GatewayBoard(Member self) {
@@ -36,8 +38,9 @@
 		this.draining = true;
 	}
 
-	void others(List<Member> ready) {
-		this.others = ready;
+	void serving(boolean self, List<Member> servingOthers) {
+		this.serving = self;
+		this.others = servingOthers;
 	}
 
 	boolean ready() {
@@ -45,15 +48,17 @@
 	}
 
 	/**
-	 * Lists the addresses that callers may use now.
-	 * @return the addresses, that of this daemon first if it is ready
+	 * Lists the addresses that callers may use now. A daemon that stands by is named only
+	 * if it knows of none that serves.
+	 * @return the addresses, that of this daemon first
 	 */
 	List<String> addresses() {
 		List<String> addresses = new ArrayList<>();
-		if (ready()) {
+		List<Member> named = this.others;
+		if (ready() && (this.serving || named.isEmpty())) {
 			addresses.add(this.self.callersAddress());
 		}
-		this.others.forEach((member) -> addresses.add(member.callersAddress()));
+		named.forEach((member) -> addresses.add(member.callersAddress()));
 		return addresses;
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Random;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,6 +19,7 @@
 import org.rattanhead.decision.forward.PeerSilent;
 import org.rattanhead.decision.forward.PeersCounted;
 import org.rattanhead.decision.register.MemberTable;
+import org.rattanhead.decision.register.ServingTurn;
 import org.rattanhead.peer.mesh.MeshListener;
 import org.rattanhead.peer.mesh.MeshNetwork;
 import org.rattanhead.ring.Duty;
@@ -47,8 +49,14 @@
 
 	private final Duty<MeshEvent> duty;
 
+	private final ServingTurn turn = new ServingTurn(new Random());
+
 	private int counted = 1;
 
+	private boolean serving;
+
+	private long beats;
+
 	MeshDuty(Member self, InetSocketAddress address, GatewayBoard board, EventSink<ForwardEvent> decisions,
 			StreamFollowers followers) {
 		this.self = self;
@@ -64,15 +72,21 @@
 			.on(BeatArrived.class, (event, now) -> beatArrived(event.beat(), now))
 			.on(BeatToSend.class, (event, now) -> beat(event, now))
 			.on(LoadToTell.class, (event, now) -> {
-				network().loadStarted(this.table.recipients(), event.command().entries());
+				network().loadStarted(this.table.serving(), event.command().entries());
 				return true;
 			})
 			.on(LoadEndToTell.class, (event, now) -> {
-				network().loadEnded(this.table.recipients(), event.command().keys());
+				network().loadEnded(this.table.serving(), event.command().keys());
 				return true;
 			})
 			.on(NewsToTell.class, (event, now) -> {
-				network().streamNews(this.table.recipients(), event.news());
+				if (this.serving) {
+					network().streamNews(this.table.recipients(), event.news());
+				}
+				return this.serving;
+			})
+			.on(NewsArrived.class, (event, now) -> {
+				this.followers.tell(this.table.readsFor(event.host(), this.serving), event.news());
 				return true;
 			})
 			.covering(MeshEvent.class);
@@ -101,7 +115,7 @@
 
 	@Override
 	public void onStreamNews(String host, StreamNews news) {
-		this.followers.tell(host, news);
+		offer(new NewsArrived(host, news));
 	}
 
 	private MeshNetwork network() {
@@ -122,20 +136,29 @@
 			LOGGER.info("peer: daemon {} is silent and no longer named to callers", host);
 			this.decisions.offer(new PeerSilent(host), Urgency.CONTROL);
 		}
+		boolean before = this.serving;
+		this.serving = this.table.serves(this.turn, nowNanos);
 		publish();
-		MemberBeat beat = new MemberBeat(this.self, this.board.ready(), event.command().configurationVersion(),
-				event.command().load(), event.command().crashes());
-		this.network.beat(this.table.recipients(), beat);
+		this.beats++;
+		if (before != this.serving) {
+			LOGGER.info("peer: this daemon {}; {} others serve", this.serving ? "serves" : "stands by",
+					this.table.serving().size());
+		}
+		if (before || this.serving || this.beats % ServingTurn.STANDBY_BEATS == 0) {
+			MemberBeat beat = new MemberBeat(this.self, this.board.ready(), this.serving,
+					event.command().configurationVersion(), event.command().load(), event.command().crashes());
+			this.network.beat((before || this.serving) ? this.table.recipients() : this.table.serving(), beat);
+		}
 		return true;
 	}
 
 	private void publish() {
-		this.board.others(this.table.ready());
-		int known = 1 + this.table.recipients().size();
-		if (known != this.counted) {
-			this.counted = known;
-			LOGGER.info("peer: {} daemons are known, {} of them alive", known, this.table.alive());
-			this.decisions.offer(new PeersCounted(known), Urgency.CONTROL);
+		this.board.serving(this.serving, this.table.serving());
+		int sharing = this.table.sharing();
+		if (sharing != this.counted) {
+			this.counted = sharing;
+			LOGGER.info("peer: {} daemons share limits, {} daemons are alive", sharing, this.table.alive());
+			this.decisions.offer(new PeersCounted(sharing), Urgency.CONTROL);
 		}
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
@@ -19,10 +19,10 @@
 		this.followers.put(stream, follower);
 	}
 
-	void tell(String host, StreamNews news) {
+	void tell(boolean prior, StreamNews news) {
 		KeyedFollower follower = this.followers.get(news.stream());
 		if (follower != null) {
-			follower.tell(host, news);
+			follower.tell(prior, news);
 		}
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -65,6 +65,14 @@
 		return commands;
 	}
 
+	/**
+	 * Tells whether requests or reservations are in progress, so that ticks are needed.
+	 * @return true if they are
+	 */
+	public boolean busy() {
+		return !this.state.idle();
+	}
+
 	private void registerRequests() {
 		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), now))
 			.on(ForwardCallerLeft.class, (event, now) -> {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
@@ -1,6 +1,7 @@
 package org.rattanhead.decision.register;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +18,21 @@
 	/** The time without a beat after which a daemon counts as dead; three beats. */
 	private static final long SILENCE_NANOS = Millis.toNanos(2_200);
 
+	/** The same for a daemon that stands by, whose beats are rarer. */
+	private static final long STANDBY_SILENCE_NANOS = ServingTurn.STANDBY_BEATS * SILENCE_NANOS;
+
+	/** How long a silent daemon is still sent beats and counted. */
+	private static final long SILENT_NANOS = Millis.toNanos(15_000);
+
 	/** How long a daemon that is only known from the store is sent beats. */
-	private static final long LEARNED_NANOS = Millis.toNanos(15_000);
+	private static final long LEARNED_NANOS = Millis.toNanos(120_000);
+
+	/** The most addresses that callers use, from the platform's pages. */
+	private static final int MAX_NAMED = 64;
+
+	/** An order that mixes failure domains, the same on all daemons. */
+	private static final Comparator<String> ORDER = Comparator.<String>comparingInt(String::hashCode)
+		.thenComparing(Comparator.naturalOrder());
 
 	private final String self;
 
@@ -41,7 +55,7 @@
 		KnownMember known = this.members.get(member.host());
 		boolean newer = known == null || known.member().startedMillis() < member.startedMillis();
 		if (newer && !member.host().equals(this.self)) {
-			this.members.put(member.host(), new KnownMember(member, false, false, nowNanos + LEARNED_NANOS));
+			this.members.put(member.host(), new KnownMember(member, false, false, false, nowNanos + LEARNED_NANOS));
 		}
 	}
 
@@ -56,8 +70,8 @@
 		if (known != null && known.member().startedMillis() > beat.member().startedMillis()) {
 			return false;
 		}
-		this.members.put(beat.member().host(),
-				new KnownMember(beat.member(), true, beat.ready(), nowNanos + SILENCE_NANOS));
+		this.members.put(beat.member().host(), new KnownMember(beat.member(), true, beat.ready(), beat.serving(),
+				nowNanos + (beat.serving() ? SILENCE_NANOS : STANDBY_SILENCE_NANOS)));
 		return true;
 	}
 
@@ -75,7 +89,7 @@
 			if (known.alive()) {
 				silent.add(known.member().host());
 				this.members.put(known.member().host(),
-						new KnownMember(known.member(), false, false, nowNanos + LEARNED_NANOS));
+						new KnownMember(known.member(), false, false, known.serving(), nowNanos + SILENT_NANOS));
 			}
 			else {
 				this.members.remove(known.member().host());
@@ -93,11 +107,59 @@
 	}
 
 	/**
-	 * Lists the daemons that live and are ready.
+	 * Lists the other daemons that callers may be sent to: they live, are ready and
+	 * serve.
 	 * @return the daemons
 	 */
-	public List<Member> ready() {
-		return this.members.values().stream().filter(KnownMember::ready).map(KnownMember::member).toList();
+	public List<Member> serving() {
+		return this.members.values()
+			.stream()
+			.filter((known) -> known.ready() && known.serving())
+			.map(KnownMember::member)
+			.limit(MAX_NAMED - 1)
+			.toList();
+	}
+
+	/**
+	 * Decides whether this daemon serves.
+	 * @param turn its turns
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if it does
+	 */
+	public boolean serves(ServingTurn turn, long nowNanos) {
+		List<Member> serving = serving();
+		int before = (int) serving.stream().filter((member) -> precedes(member.host())).count();
+		return turn.update(serving.size(), before, this.members.size() + 1 - serving.size(), nowNanos);
+	}
+
+	/**
+	 * Tells whether another daemon reads for this one rather than the reverse.
+	 * @param host the other daemon
+	 * @param selfServing whether this daemon serves
+	 * @return true if it does
+	 */
+	public boolean readsFor(String host, boolean selfServing) {
+		return !selfServing || precedes(host);
+	}
+
+	/**
+	 * Counts the daemons that share limits. Silent ones count for a while, since they may
+	 * only be out of reach, and so do those that were never heard, up to the number that
+	 * serves.
+	 * @return the number, this one included
+	 */
+	public int sharing() {
+		int serving = 0;
+		int unheard = 0;
+		for (KnownMember known : this.members.values()) {
+			serving += known.serving() ? 1 : 0;
+			unheard += (!known.alive() && !known.serving()) ? 1 : 0;
+		}
+		return 1 + Math.max(serving, Math.min(ServingTurn.SERVING_DAEMONS - 1, serving + unheard));
+	}
+
+	private boolean precedes(String host) {
+		return ORDER.compare(host, this.self) < 0;
 	}
 
 	/**
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
@@ -55,26 +55,51 @@
 		MemberTable table = new MemberTable("self");
 		Member peer = new Member("peer", 1, "10.0.0.2:80", "10.0.0.2:90");
 		table.learn(peer, 0);
-		assertThat(table.ready()).as("an announcement alone").isEmpty();
-		table.hear(new MemberBeat(peer, true, 1, List.of(), List.of()), 0);
+		assertThat(table.serving()).as("an announcement alone").isEmpty();
+		table.hear(new MemberBeat(peer, true, true, 1, List.of(), List.of()), 0);
 		table.expire(Millis.toNanos(millis));
-		assertThat(table.ready()).hasSize(ready);
+		assertThat(table.serving()).hasSize(ready);
 		assertThat(table.alive()).isEqualTo(alive);
 		assertThat(table.recipients()).containsExactly(peer);
 	}
 
+	@ParameterizedTest(name = "{0} serving, {1} standing by, {2} never heard: {3} share limits")
+	@CsvSource({ "0, 0, 0, 1", "8, 0, 0, 9", "3, 0, 5, 9", "24, 62, 0, 25", "2, 0, 80, 24", "30, 0, 50, 31" })
+	void countsTheDaemonsThatShareLimits(int serving, int standby, int unheard, int sharing) {
+		MemberTable table = new MemberTable("self");
+		for (int peer = 0; peer < serving + standby + unheard; peer++) {
+			Member member = new Member("peer-" + peer, 1, "10.0.0.2:80", "10.0.0.2:90");
+			table.learn(member, 0);
+			if (peer < serving + standby) {
+				table.hear(new MemberBeat(member, true, peer < serving, 1, List.of(), List.of()), 0);
+			}
+		}
+		assertThat(table.sharing()).isEqualTo(sharing);
+		table.expire(Millis.toNanos(7_000));
+		assertThat(table.sharing()).as("silent daemons count as well").isGreaterThanOrEqualTo(sharing);
+	}
+
+	@ParameterizedTest(name = "a daemon that {0} is named to callers: {3}")
+	@CsvSource({ "serves, true, true, 1", "is not ready, false, true, 0", "stands by, true, false, 0" })
+	void namesOnlyDaemonsThatServe(String what, boolean ready, boolean serving, int named) {
+		MemberTable table = new MemberTable("self");
+		table.hear(new MemberBeat(new Member("peer", 1, "10.0.0.2:80", "10.0.0.2:90"), ready, serving, 1, List.of(),
+				List.of()), 0);
+		assertThat(table.serving()).hasSize(named);
+	}
+
 	@ParameterizedTest(name = "started at {0}: {1}")
 	@CsvSource({ "4, false", "5, true", "6, true" })
 	void ignoresBeatsOfAnEarlierLife(long startedMillis, boolean taken) {
 		MemberTable table = new MemberTable("self");
 		table.hear(beat(5, true), 0);
 		assertThat(table.hear(beat(startedMillis, false), 0)).isEqualTo(taken);
-		assertThat(table.ready()).hasSize(taken ? 0 : 1);
+		assertThat(table.serving()).hasSize(taken ? 0 : 1);
 	}
 
 	private static MemberBeat beat(long startedMillis, boolean ready) {
-		return new MemberBeat(new Member("peer", startedMillis, "10.0.0.2:80", "10.0.0.2:90"), ready, 1, List.of(),
-				List.of());
+		return new MemberBeat(new Member("peer", startedMillis, "10.0.0.2:80", "10.0.0.2:90"), ready, true, 1,
+				List.of(), List.of());
 	}
 
 }
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -46,6 +46,7 @@
 			.setCallersAddress(beat.member().callersAddress())
 			.setMeshAddress(beat.member().meshAddress())
 			.setReady(beat.ready())
+			.setServing(beat.serving())
 			.setConfigurationVersion(beat.configurationVersion());
 		beat.load().forEach((entry) -> builder.addLoad(encode(entry)));
 		beat.crashes()
@@ -124,7 +125,7 @@
 
 	private static MemberBeat decode(String host, MeshBeat beat) {
 		Member member = new Member(host, beat.getStartedMillis(), beat.getCallersAddress(), beat.getMeshAddress());
-		return new MemberBeat(member, beat.getReady(), beat.getConfigurationVersion(),
+		return new MemberBeat(member, beat.getReady(), beat.getServing(), beat.getConfigurationVersion(),
 				beat.getLoadList().stream().map(MeshCodec::decode).toList(),
 				beat.getCrashesList()
 					.stream()
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -63,21 +63,20 @@
 
 	/**
 	 * Starts to follow a stream.
-	 * @param self the host of this daemon
 	 * @param store the store
 	 * @param plan how to follow
 	 * @param ticker waits between reads
 	 * @param listener hears what is read
 	 * @param others tells the other daemons what is read
 	 */
-	public KeyedFollower(String self, KeyedStore store, FollowPlan plan, Ticker ticker, KeyedListener listener,
+	public KeyedFollower(KeyedStore store, FollowPlan plan, Ticker ticker, KeyedListener listener,
 			Consumer<StreamNews> others) {
 		this.store = store;
 		this.plan = plan;
 		this.ticker = ticker;
 		this.listener = listener;
 		this.others = others;
-		this.turn = new ReadTurn(self, plan, new Random(), System.nanoTime());
+		this.turn = new ReadTurn(plan, new Random(), System.nanoTime());
 		HandlerTable<FollowEvent, Boolean> handlers = new HandlerTable<FollowEvent, Boolean>()
 			.on(ReadDue.class, (event, now) -> event.timer() == this.timer && due(now))
 			.on(PageArrived.class, (event, now) -> arrived(event, now))
@@ -90,11 +89,11 @@
 
 	/**
 	 * Takes what another daemon read.
-	 * @param host its host
+	 * @param prior whether that daemon goes on if both read
 	 * @param news what it found
 	 */
-	public void tell(String host, StreamNews news) {
-		this.duty.offer(new NewsHeard(host, news), Urgency.STREAM);
+	public void tell(boolean prior, StreamNews news) {
+		this.duty.offer(new NewsHeard(prior, news), Urgency.STREAM);
 	}
 
 	private boolean due(long nowNanos) {
@@ -182,7 +181,7 @@
 		if (this.snapshot || news.nextOffset() < this.nextOffset) {
 			return false;
 		}
-		this.turn.heard(event.host(), nowNanos);
+		this.turn.heard(event.prior(), nowNanos);
 		if (news.nextOffset() > this.nextOffset && news.fromOffset() != this.nextOffset) {
 			this.turn.due(nowNanos);
 			return due(nowNanos);
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewsHeard.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewsHeard.java
@@ -5,8 +5,8 @@
 /**
  * Another daemon read the stream.
  *
- * @param host its host
+ * @param prior whether that daemon reads for this one rather than the reverse
  * @param news what it found
  */
-record NewsHeard(String host, StreamNews news) implements FollowEvent {
+record NewsHeard(boolean prior, StreamNews news) implements FollowEvent {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadTurn.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadTurn.java
@@ -6,8 +6,7 @@
 /**
  * Decides when a daemon reads a stream, so that of the daemons that hear each other one
  * reads for all. A daemon that hears of no reads, because it is cut off or because the
- * reader died, reads for itself. Of several readers the one with the first host name goes
- * on.
+ * reader died, reads for itself.
  */
 final class ReadTurn {
 
@@ -30,8 +29,6 @@
 	 */
 	private static final double SPREAD_SHARE = 0.3;
 
-	private final String self;
-
 	private final FollowPlan plan;
 
 	private final RandomGenerator random;
@@ -46,13 +43,11 @@
 
 	/**
 	 * Creates the turns of one daemon on one stream; the first read is due at once.
-	 * @param self the host of this daemon
 	 * @param plan how the stream is followed
 	 * @param random spreads the reads of the daemons
 	 * @param nowNanos the time on the monotonic clock
 	 */
-	ReadTurn(String self, FollowPlan plan, RandomGenerator random, long nowNanos) {
-		this.self = self;
+	ReadTurn(FollowPlan plan, RandomGenerator random, long nowNanos) {
 		this.plan = plan;
 		this.random = random;
 		this.dueNanos = nowNanos;
@@ -89,11 +84,11 @@
 
 	/**
 	 * Notes that another daemon read the stream.
-	 * @param host the other daemon
+	 * @param prior whether that daemon goes on if both read
 	 * @param nowNanos the time on the monotonic clock
 	 */
-	void heard(String host, long nowNanos) {
-		if (!reader(nowNanos) || host.compareTo(this.self) < 0) {
+	void heard(boolean prior, long nowNanos) {
+		if (!reader(nowNanos) || prior) {
 			this.yieldUntilNanos = nowNanos + spread(this.plan.yieldMillis());
 			this.dueNanos = this.yieldUntilNanos;
 			this.readerUntilNanos = nowNanos;
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -142,7 +142,7 @@
 		follow(new FollowPlan(KeyedStream.OPERATORS, 60_000, WAIT_MILLIS, 60_000), (follower) -> {
 			expectReads("newest ");
 			assertThat(this.heard.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 1");
-			follower.tell("0", new StreamNews(KeyedStream.OPERATORS, from, next, records));
+			follower.tell(true, new StreamNews(KeyedStream.OPERATORS, from, next, records));
 			if (!read.isEmpty()) {
 				expectReads(read);
 			}
@@ -192,8 +192,7 @@
 
 	private void follow(FollowPlan plan, FollowerCheck check) throws Exception {
 		try (Ticker ticker = new Ticker("test");
-				KeyedFollower follower = new KeyedFollower("1", this.store, plan, ticker, this.listener,
-						this.told::add)) {
+				KeyedFollower follower = new KeyedFollower(this.store, plan, ticker, this.listener, this.told::add)) {
 			check.run(follower);
 		}
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadTurnTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadTurnTests.java
@@ -47,7 +47,7 @@
 	@ParameterizedTest(name = "after {0} failures within {1} ms")
 	@CsvSource({ "1, 390", "2, 780", "3, 1560", "10, 1560" })
 	void retriesAStoreInTroubleMoreAndMoreRarely(int failures, long mostMillis) {
-		ReadTurn turn = new ReadTurn("a", PLAN, new Random(1), 0);
+		ReadTurn turn = new ReadTurn(PLAN, new Random(1), 0);
 		for (int failure = 0; failure < failures; failure++) {
 			turn.failed(0);
 		}
@@ -72,7 +72,7 @@
 		Simulation(int daemons, int alone) {
 			this.alone = alone;
 			for (int daemon = 0; daemon < daemons; daemon++) {
-				this.turns.add(new ReadTurn(name(daemon), PLAN, new Random(daemon), 0));
+				this.turns.add(new ReadTurn(PLAN, new Random(daemon), 0));
 			}
 		}
 
@@ -101,15 +101,11 @@
 			}
 			for (int other = 0; other < this.turns.size() - this.alone; other++) {
 				if (other != daemon) {
-					this.turns.get(other).heard(name(daemon), nanos);
+					this.turns.get(other).heard(daemon < other, nanos);
 				}
 			}
 		}
 
-		private static String name(int daemon) {
-			return String.format("host-%03d", daemon);
-		}
-
 	}
 
 }
