--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/Packing.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/Packing.java
@@ -45,7 +45,7 @@
 			byte[] buffer = new byte[BUFFER_BYTES];
 			while (!inflater.finished()) {
 				int count = inflater.inflate(buffer);
-				if (count == 0 || out.size() + count > MAX_BYTES) {
+				if ((count == 0 && !inflater.finished()) || out.size() + count > MAX_BYTES) {
 					throw new InvalidProtocolBufferException("The records are damaged or too long; dropped");
 				}
 				out.write(buffer, 0, count);
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -71,15 +71,18 @@
 		}
 	}
 
-	@ParameterizedTest(name = "news of {0}, {1} bytes")
-	@CsvSource({ "OPERATORS, 0", "OPERATORS, 1", "INSTANCES, 1", "MEMBERS, 1", "OPERATORS, 30000" })
-	void carriesNews(KeyedStream stream, int bytes) throws Exception {
+	@ParameterizedTest(name = "news of {0}, {1} records of {2} bytes")
+	@CsvSource({ "OPERATORS, 0, 0", "OPERATORS, 1, 0", "INSTANCES, 2, 1", "MEMBERS, 9, 1", "OPERATORS, 1, 30000" })
+	void carriesNews(KeyedStream stream, int count, int bytes) throws Exception {
 		InetSocketAddress address = free();
 		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort());
 		byte[] value = new byte[bytes];
 		new Random(1).nextBytes(value);
-		StreamNews news = new StreamNews(stream, 3, 5,
-				List.of(new KeyedRecord("a", Optional.of(new Payload(value))), new KeyedRecord("b", Optional.empty())));
+		List<KeyedRecord> records = IntStream.range(0, count)
+			.mapToObj((index) -> new KeyedRecord("k" + index,
+					(index % 2 == 0) ? Optional.of(new Payload(value)) : Optional.empty()))
+			.toList();
+		StreamNews news = new StreamNews(stream, 3, 3 + count, records);
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.streamNews(List.of(member), news);
 			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(news);
