Start from a class archive that the build records

The rehearsal starts a gateway on loopback and sends it a few requests; without an archive the daemon starts as before.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
@@ -6,6 +6,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 
 import org.rattanhead.daemon.gateway.GatewayMain;
+import org.rattanhead.daemon.gateway.Rehearsal;
 import org.rattanhead.ring.ShutdownHook;
 import org.rattanhead.settings.IniFile;
 import org.rattanhead.settings.SettingsException;
@@ -39,7 +40,12 @@
 			}
 			IniFile file = IniFile.read(options.settings());
 			if (GatewayMain.accepts(file)) {
-				GatewayMain.run(options.settings(), file, options.check());
+				if (options.rehearse()) {
+					Rehearsal.run(file);
+				}
+				else {
+					GatewayMain.run(options.settings(), file, options.check());
+				}
 				return;
 			}
 			DaemonSettings settings = DaemonSettingsFile.parse(file);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonOptions.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonOptions.java
@@ -15,6 +15,10 @@
 	@Option(name = "--check", usage = "check the settings and exit")
 	private boolean check;
 
+	@Option(name = "--rehearse",
+			usage = "start a gateway, send it a few requests and exit; the build records the classes that this loads")
+	private boolean rehearse;
+
 	@Option(name = "--help", help = true, usage = "show this help")
 	private boolean help;
 
@@ -26,6 +30,10 @@
 		return this.check;
 	}
 
+	boolean rehearse() {
+		return this.rehearse;
+	}
+
 	boolean help() {
 		return this.help;
 	}
--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Rehearsal.java
@@ -0,0 +1,64 @@
+package org.rattanhead.daemon.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+import org.rattanhead.client.HttpCall;
+import org.rattanhead.client.HttpCaller;
+import org.rattanhead.core.Payload;
+import org.rattanhead.settings.IniFile;
+
+/**
+ * Starts a gateway, sends it a few requests and stops it, so that the virtual machine can
+ * record the classes that a start needs. No store has to be there.
+ */
+public final class Rehearsal {
+
+	private static final Logger LOGGER = LogManager.getLogger(Rehearsal.class);
+
+	private static final int ROUNDS = 3;
+
+	/** The time between rounds; beats and failed reads of the store fall into it. */
+	private static final long PAUSE_MILLIS = 500;
+
+	private static final long TIMEOUT_MILLIS = 1_000;
+
+	private Rehearsal() {
+	}
+
+	/**
+	 * Runs the rehearsal.
+	 * @param file the settings of the gateway
+	 */
+	public static void run(IniFile file) {
+		GatewaySettings settings = GatewaySettingsFile.parse(file);
+		GatewayLogs.apply(Level.INFO);
+		List<InetSocketAddress> addresses = List.of(settings.callersAddress(), settings.readyAddress(),
+				settings.directoryAddress(), settings.metricsAddress());
+		try (Gateway gateway = new Gateway(settings); HttpCaller caller = new HttpCaller("rehearsal", 1)) {
+			for (int round = 0; round < ROUNDS; round++) {
+				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+				addresses.forEach((address) -> call(caller, address));
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void call(HttpCaller caller, InetSocketAddress address) {
+		try {
+			caller.call(new HttpCall(address, "POST", "/", List.of(), Payload.of("{}"), TIMEOUT_MILLIS)).join();
+		}
+		catch (CompletionException ex) {
+			LOGGER.info("daemon: a call of the rehearsal failed: {}", ex.getMessage());
+		}
+	}
+
+}
