Inform a daemon that stands by through four that serve

Cause: serving daemons sent each beat to all others, about 3,000 datagrams a second in a fleet of 86, most of them to daemons that only need to know whom to name. Each of these now gets beats from four serving daemons, with the names of all that they hear. A beat without work wakes the decisions only if work was known before.

--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberBeat.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberBeat.java
@@ -11,7 +11,19 @@
  * @param configurationVersion the version it has in force
  * @param load all work it has placed
  * @param crashes the requests that broke instances lately
+ * @param named the serving daemons that the sender hears, for daemons that stand by
  */
 public record MemberBeat(Member member, boolean ready, boolean serving, long configurationVersion, List<LoadEntry> load,
-		List<CrashReport> crashes) {
+		List<CrashReport> crashes, List<Member> named) {
+
+	/**
+	 * Returns this beat with the serving daemons that its sender hears.
+	 * @param members the daemons
+	 * @return the beat
+	 */
+	public MemberBeat naming(List<Member> members) {
+		return new MemberBeat(this.member, this.ready, this.serving, this.configurationVersion, this.load, this.crashes,
+				members);
+	}
+
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,6 +20,7 @@
 import org.rattanhead.decision.forward.PeerLoadStarted;
 import org.rattanhead.decision.forward.PeerSilent;
 import org.rattanhead.decision.forward.PeersCounted;
+import org.rattanhead.decision.forward.TellBeat;
 import org.rattanhead.decision.register.MemberTable;
 import org.rattanhead.decision.register.ServingTurn;
 import org.rattanhead.peer.mesh.MeshListener;
@@ -51,6 +54,8 @@
 
 	private final ServingTurn turn = new ServingTurn(new Random());
 
+	private final Set<String> loaded = ConcurrentHashMap.newKeySet();
+
 	private int counted = 1;
 
 	private boolean serving;
@@ -105,6 +110,7 @@
 
 	@Override
 	public void onLoadStarted(String host, List<LoadEntry> entries) {
+		this.loaded.add(host);
 		this.decisions.offer(new PeerLoadStarted(host, entries), Urgency.STREAM);
 	}
 
@@ -126,14 +132,24 @@
 		if (!this.table.hear(beat, nowNanos)) {
 			return false;
 		}
-		this.decisions.offer(new PeerBeatHeard(beat.member().host(), beat.load(), beat.crashes()), Urgency.STREAM);
-		publish();
+		if (!this.serving) {
+			beat.named().forEach((member) -> this.table.named(member, nowNanos));
+		}
+		boolean empty = beat.load().isEmpty() && beat.crashes().isEmpty();
+		if (!empty) {
+			this.loaded.add(beat.member().host());
+		}
+		// The first empty beat makes up for lost datagrams; those after it tell nothing.
+		if (!empty || this.loaded.remove(beat.member().host())) {
+			this.decisions.offer(new PeerBeatHeard(beat.member().host(), beat.load(), beat.crashes()), Urgency.STREAM);
+		}
 		return true;
 	}
 
 	private boolean beat(BeatToSend event, long nowNanos) {
 		for (String host : this.table.expire(nowNanos)) {
 			LOGGER.info("peer: daemon {} is silent and no longer named to callers", host);
+			this.loaded.remove(host);
 			this.decisions.offer(new PeerSilent(host), Urgency.CONTROL);
 		}
 		boolean before = this.serving;
@@ -144,14 +160,23 @@
 			LOGGER.info("peer: this daemon {}; {} others serve", this.serving ? "serves" : "stands by",
 					this.table.serving().size());
 		}
-		if (before || this.serving || this.beats % ServingTurn.STANDBY_BEATS == 0) {
-			MemberBeat beat = new MemberBeat(this.self, this.board.ready(), this.serving,
-					event.command().configurationVersion(), event.command().load(), event.command().crashes());
-			this.network.beat((before || this.serving) ? this.table.recipients() : this.table.serving(), beat);
-		}
+		send(event.command(), before);
 		return true;
 	}
 
+	private void send(TellBeat told, boolean servedBefore) {
+		List<Member> servers = this.table.serving();
+		MemberBeat beat = new MemberBeat(this.self, this.board.ready(), this.serving, told.configurationVersion(),
+				told.load(), told.crashes(), List.of());
+		if (this.serving || servedBefore) {
+			this.network.beat(servers, beat);
+			this.network.beat(this.table.informed(), beat.naming(servers));
+		}
+		else if (this.beats % ServingTurn.STANDBY_BEATS == 0) {
+			this.network.beat(this.table.informants(), beat);
+		}
+	}
+
 	private void publish() {
 		this.board.serving(this.serving, this.table.serving());
 		int sharing = this.table.sharing();
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Rehearsal.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Rehearsal.java
@@ -45,6 +45,7 @@
 			for (int round = 0; round < ROUNDS; round++) {
 				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
 				addresses.forEach((address) -> call(caller, address));
+				LOGGER.info("daemon: round {} of the rehearsal left {} calls open", round, gateway.inProgress());
 			}
 		}
 		catch (InterruptedException ex) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
@@ -24,8 +24,14 @@
 	/** How long a silent daemon is still sent beats and counted. */
 	private static final long SILENT_NANOS = Millis.toNanos(15_000);
 
-	/** How long a daemon that is only known from the store is sent beats. */
-	private static final long LEARNED_NANOS = Millis.toNanos(120_000);
+	/** How long a daemon that is only known from the store is told news. */
+	private static final long LEARNED_NANOS = Millis.toNanos(600_000);
+
+	/** How long a daemon is believed to serve because another one names it. */
+	private static final long NAMED_NANOS = Millis.toNanos(1_500);
+
+	/** The serving daemons that send beats to a daemon that stands by. */
+	private static final int INFORMANTS = 4;
 
 	/** The most addresses that callers use, from the platform's pages. */
 	private static final int MAX_NAMED = 64;
@@ -75,6 +81,21 @@
 		return true;
 	}
 
+	/**
+	 * Takes a daemon that another one hears. A daemon that serves hears the others itself
+	 * and has no use for this.
+	 * @param member the daemon
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	public void named(Member member, long nowNanos) {
+		KnownMember known = this.members.get(member.host());
+		boolean older = known != null && known.member().startedMillis() > member.startedMillis();
+		boolean heard = known != null && known.alive() && known.untilNanos() > nowNanos + NAMED_NANOS;
+		if (!older && !heard && !member.host().equals(this.self)) {
+			this.members.put(member.host(), new KnownMember(member, true, true, true, nowNanos + NAMED_NANOS));
+		}
+	}
+
 	/**
 	 * Drops the daemons that were silent for too long.
 	 * @param nowNanos the time on the monotonic clock
@@ -99,7 +120,7 @@
 	}
 
 	/**
-	 * Lists the daemons that are to be sent beats.
+	 * Lists all other daemons.
 	 * @return the daemons
 	 */
 	public List<Member> recipients() {
@@ -120,6 +141,44 @@
 			.toList();
 	}
 
+	/**
+	 * Lists the daemons that this one sends beats to, besides those that serve: the
+	 * daemons that stand by or were not heard yet, each of which is informed by a few.
+	 * @return the daemons
+	 */
+	public List<Member> informed() {
+		List<String> informants = sortedServing(this.self);
+		return this.members.values()
+			.stream()
+			.filter((known) -> !known.ready() || !known.serving())
+			.map(KnownMember::member)
+			.filter((member) -> informs(informants, this.self, member.host()))
+			.toList();
+	}
+
+	/**
+	 * Lists the serving daemons that inform this one while it stands by.
+	 * @return the daemons
+	 */
+	public List<Member> informants() {
+		List<String> informants = sortedServing(null);
+		return serving().stream().filter((member) -> informs(informants, member.host(), this.self)).toList();
+	}
+
+	private List<String> sortedServing(String besides) {
+		List<String> hosts = new ArrayList<>(serving().stream().map(Member::host).toList());
+		if (besides != null) {
+			hosts.add(besides);
+		}
+		hosts.sort(ORDER);
+		return hosts;
+	}
+
+	private static boolean informs(List<String> informants, String informant, String host) {
+		int first = Math.floorMod(host.hashCode(), informants.size());
+		return Math.floorMod(informants.indexOf(informant) - first, informants.size()) < INFORMANTS;
+	}
+
 	/**
 	 * Decides whether this daemon serves.
 	 * @param turn its turns
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
@@ -1,6 +1,9 @@
 package org.rattanhead.decision.register;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -56,7 +59,7 @@
 		Member peer = new Member("peer", 1, "10.0.0.2:80", "10.0.0.2:90");
 		table.learn(peer, 0);
 		assertThat(table.serving()).as("an announcement alone").isEmpty();
-		table.hear(new MemberBeat(peer, true, true, 1, List.of(), List.of()), 0);
+		table.hear(new MemberBeat(peer, true, true, 1, List.of(), List.of(), List.of()), 0);
 		table.expire(Millis.toNanos(millis));
 		assertThat(table.serving()).hasSize(ready);
 		assertThat(table.alive()).isEqualTo(alive);
@@ -71,7 +74,7 @@
 			Member member = new Member("peer-" + peer, 1, "10.0.0.2:80", "10.0.0.2:90");
 			table.learn(member, 0);
 			if (peer < serving + standby) {
-				table.hear(new MemberBeat(member, true, peer < serving, 1, List.of(), List.of()), 0);
+				table.hear(new MemberBeat(member, true, peer < serving, 1, List.of(), List.of(), List.of()), 0);
 			}
 		}
 		assertThat(table.sharing()).isEqualTo(sharing);
@@ -84,10 +87,47 @@
 	void namesOnlyDaemonsThatServe(String what, boolean ready, boolean serving, int named) {
 		MemberTable table = new MemberTable("self");
 		table.hear(new MemberBeat(new Member("peer", 1, "10.0.0.2:80", "10.0.0.2:90"), ready, serving, 1, List.of(),
-				List.of()), 0);
+				List.of(), List.of()), 0);
 		assertThat(table.serving()).hasSize(named);
 	}
 
+	@ParameterizedTest(name = "{0} serving daemons: each of {1} others is informed by {2}")
+	@CsvSource({ "1, 8, 1", "3, 5, 3", "24, 62, 4", "24, 1376, 4" })
+	void aFewInformEachDaemonThatStandsBy(int serving, int others, int informants) {
+		List<Member> servers = IntStream.range(0, serving).mapToObj((peer) -> peer("serving-" + peer)).toList();
+		List<Member> standbys = IntStream.range(0, others).mapToObj((peer) -> peer("standby-" + peer)).toList();
+		Map<Member, Integer> informed = new HashMap<>();
+		for (Member server : servers) {
+			MemberTable table = new MemberTable(server.host());
+			standbys.forEach((standby) -> table.learn(standby, 0));
+			servers.stream().filter((other) -> other != server).forEach((other) -> serves(table, other));
+			table.informed().forEach((standby) -> informed.merge(standby, 1, Integer::sum));
+		}
+		assertThat(informed).hasSize(others);
+		assertThat(informed.values()).containsOnly(informants);
+		MemberTable table = new MemberTable(standbys.get(0).host());
+		servers.forEach((server) -> serves(table, server));
+		assertThat(table.informants()).hasSize(informants);
+	}
+
+	@ParameterizedTest(name = "{0} ms after it was named: {1} named to callers")
+	@CsvSource({ "0, 1", "1400, 1", "1600, 0" })
+	void namesDaemonsThatOthersHear(long millis, int named) {
+		MemberTable table = new MemberTable("self");
+		table.named(peer("peer"), 0);
+		table.named(peer("self"), 0);
+		table.expire(Millis.toNanos(millis));
+		assertThat(table.serving()).hasSize(named);
+	}
+
+	private static Member peer(String host) {
+		return new Member(host, 1, "10.0.0.2:80", "10.0.0.2:90");
+	}
+
+	private static void serves(MemberTable table, Member member) {
+		table.hear(new MemberBeat(member, true, true, 1, List.of(), List.of(), List.of()), 0);
+	}
+
 	@ParameterizedTest(name = "started at {0}: {1}")
 	@CsvSource({ "4, false", "5, true", "6, true" })
 	void ignoresBeatsOfAnEarlierLife(long startedMillis, boolean taken) {
@@ -99,7 +139,7 @@
 
 	private static MemberBeat beat(long startedMillis, boolean ready) {
 		return new MemberBeat(new Member("peer", startedMillis, "10.0.0.2:80", "10.0.0.2:90"), ready, true, 1,
-				List.of(), List.of());
+				List.of(), List.of(), List.of());
 	}
 
 }
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -21,6 +21,7 @@
 import org.rattanhead.messages.MeshLoad;
 import org.rattanhead.messages.MeshLoadEnded;
 import org.rattanhead.messages.MeshLoadStarted;
+import org.rattanhead.messages.MeshMember;
 import org.rattanhead.messages.MeshRecord;
 import org.rattanhead.messages.MeshRecords;
 import org.rattanhead.messages.MeshStreamNews;
@@ -52,6 +53,7 @@
 		beat.crashes()
 			.forEach((crash) -> builder
 				.addCrashes(MeshCrash.newBuilder().setFingerprint(crash.fingerprint()).setCount(crash.count())));
+		beat.named().forEach((member) -> builder.addNamed(encode(member)));
 		return MeshDatagram.newBuilder().setHost(host).setBeat(builder).build();
 	}
 
@@ -130,7 +132,8 @@
 				beat.getCrashesList()
 					.stream()
 					.map((crash) -> new CrashReport(crash.getFingerprint(), crash.getCount()))
-					.toList());
+					.toList(),
+				beat.getNamedList().stream().map(MeshCodec::decode).toList());
 	}
 
 	private static void deliver(String host, MeshStreamNews news, MeshListener listener)
@@ -152,6 +155,20 @@
 				record.hasValue() ? Optional.of(new Payload(record.getValue().toByteArray())) : Optional.empty());
 	}
 
+	private static MeshMember encode(Member member) {
+		return MeshMember.newBuilder()
+			.setHost(member.host())
+			.setStartedMillis(member.startedMillis())
+			.setCallersAddress(member.callersAddress())
+			.setMeshAddress(member.meshAddress())
+			.build();
+	}
+
+	private static Member decode(MeshMember member) {
+		return new Member(member.getHost(), member.getStartedMillis(), member.getCallersAddress(),
+				member.getMeshAddress());
+	}
+
 	private static MeshLoad encode(LoadEntry entry) {
 		return MeshLoad.newBuilder()
 			.setKey(entry.key())
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -64,7 +64,8 @@
 	void carriesABeatOfAnySize(int entries) throws Exception {
 		InetSocketAddress address = free();
 		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort());
-		MemberBeat beat = new MemberBeat(member, true, true, 7, load(entries), List.of(new CrashReport(-9, 2)));
+		MemberBeat beat = new MemberBeat(member, true, true, 7, load(entries), List.of(new CrashReport(-9, 2)),
+				List.of(member));
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.beat(List.of(member), beat);
 			assertThat(this.arrived.poll(5, TimeUnit.SECONDS)).isEqualTo(beat);
