--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -68,8 +68,8 @@
 	/** How instances are followed; under the time to notice a leaving one. */
 	private static final FollowPlan INSTANCES = new FollowPlan(KeyedStream.INSTANCES, 800, 0, 1_000);
 
-	/** How announcements are followed; daemons that know each other need none. */
-	private static final FollowPlan MEMBERS = new FollowPlan(KeyedStream.MEMBERS, 5_000, 0, 15_000);
+	/** How announcements are followed; a new daemon is told news after one read. */
+	private static final FollowPlan MEMBERS = new FollowPlan(KeyedStream.MEMBERS, 2_000, 0, 6_000);
 
 	private static final long ANNOUNCE_RETRY_MILLIS = 500;
 
