Add a fault soak of the real programs

The soak runs gateways as separate processes behind loopback proxies that delay, silence, cut one way and reset the links to the store and to instances; it kills, stops, freezes and reloads them by signals, makes the store refuse and lose answers, changes configurations and lets instances leave, in overlapping order drawn from a seed. It checks what callers and instances see: at most once, true refusals, whole answers of their own, workspaces, and service within the recovery bound. Two seeds run in every build; bin/soak runs others.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -22,7 +22,7 @@
 /**
  * A gateway, a store and instances of one service, in one process.
  */
-final class GatewayRig implements AutoCloseable {
+public final class GatewayRig implements AutoCloseable {
 
 	static final String OPERATORS = "keyed.op";
 
@@ -54,7 +54,13 @@
 		await(() -> answer(this.settings.readyAddress(), "/rattanhead/readyz").startsWith("HTTP/1.1 200"));
 	}
 
-	static RawAnswer signed(RawRequest request, String body) {
+	/**
+	 * Builds the answer of an instance.
+	 * @param request the request
+	 * @param body the body
+	 * @return the answer
+	 */
+	public static RawAnswer signed(RawRequest request, String body) {
 		return RawAnswer.of(200, List.of("X-Attempt-Id: " + request.header("X-Attempt-Id"), "X-Response-Signature: s"),
 				body);
 	}
@@ -63,7 +69,14 @@
 		register(this.store, index, this.instances.get(index).address(), state);
 	}
 
-	static void register(StoreStandin store, int index, InetSocketAddress address, String state) {
+	/**
+	 * Registers an instance.
+	 * @param store the store
+	 * @param index the number of the instance
+	 * @param address where it listens
+	 * @param state ready or draining
+	 */
+	public static void register(StoreStandin store, int index, InetSocketAddress address, String state) {
 		store.put(INSTANCES, "i-" + index,
 				("{'Service':'s','Address':'127.0.0.1:" + address.getPort() + "','Zone':'z','Slots':8,'State':'" + state
 						+ "','ColdRemainingMs':0,'Sequence':1,'born':1}")
@@ -74,7 +87,13 @@
 		configure(this.store, version, moreRoutes);
 	}
 
-	static void configure(StoreStandin store, long version, String moreRoutes) {
+	/**
+	 * Writes a configuration.
+	 * @param store the store
+	 * @param version its version
+	 * @param moreRoutes further routes, with single quotes
+	 */
+	public static void configure(StoreStandin store, long version, String moreRoutes) {
 		store.put(OPERATORS, "config", ("{'Version':" + version + ",'Routes':[" + ROUTES + moreRoutes
 				+ "],'Services':[{'Name':'s','MaxConnections':50}],'Tenants':[{'Name':'atelier','ApiKeys':['k1']}]}")
 			.replace('\'', '"'));
@@ -105,7 +124,12 @@
 		return this.instances.stream().flatMap((server) -> server.requests().stream()).toList();
 	}
 
-	static void await(BooleanSupplier condition) throws InterruptedException {
+	/**
+	 * Waits for a condition.
+	 * @param condition the condition
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public static void await(BooleanSupplier condition) throws InterruptedException {
 		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
 		while (!condition.getAsBoolean()) {
 			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(endNanos);
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RawCaller.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RawCaller.java
@@ -12,34 +12,56 @@
 /**
  * A caller on a plain socket.
  */
-final class RawCaller implements AutoCloseable {
+public final class RawCaller implements AutoCloseable {
 
 	private static final int TIMEOUT_MILLIS = 8_000;
 
 	private final Socket socket;
 
-	RawCaller(InetSocketAddress address) throws IOException {
+	/**
+	 * Connects.
+	 * @param address where to
+	 * @throws IOException if nobody listens there
+	 */
+	public RawCaller(InetSocketAddress address) throws IOException {
 		this.socket = new Socket(address.getAddress(), address.getPort());
 		this.socket.setSoTimeout(TIMEOUT_MILLIS);
 		this.socket.setTcpNoDelay(true);
 	}
 
-	static String request(String method, String path, String attempt, String body, String... fields) {
+	/**
+	 * Builds a request.
+	 * @param method the method
+	 * @param path the path
+	 * @param attempt the id of the attempt
+	 * @param body the body
+	 * @param fields further header fields
+	 * @return the request, as it goes on the wire
+	 */
+	public static String request(String method, String path, String attempt, String body, String... fields) {
 		return method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt
 				+ "\r\nX-Deadline-Remaining-Ms: 5000\r\nAuthorization: Bearer k1\r\n"
 				+ String.join("", Arrays.stream(fields).map((field) -> field + "\r\n").toList())
 				+ (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
 	}
 
-	RawCaller send(String bytes) throws IOException {
+	/**
+	 * Sends bytes.
+	 * @param bytes the bytes, as text
+	 * @return this caller
+	 * @throws IOException if the connection broke
+	 */
+	public RawCaller send(String bytes) throws IOException {
 		this.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
 		return this;
 	}
 
 	/**
-	 * Reads one answer, as text with its head, or what came before the connection ended.
+	 * Reads one answer.
+	 * @return the answer with its head, or what came before the connection ended
+	 * @throws IOException if the connection broke or nothing came in time
 	 */
-	String answer() throws IOException {
+	public String answer() throws IOException {
 		InputStream in = this.socket.getInputStream();
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		String text = "";
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakAction.java
@@ -0,0 +1,15 @@
+package org.rattanhead.daemon.soak;
+
+/**
+ * A step of a fault.
+ */
+@FunctionalInterface
+interface SoakAction {
+
+	/**
+	 * Runs the step.
+	 * @throws Exception if the step itself fails
+	 */
+	void run() throws Exception;
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakFleet.java
@@ -0,0 +1,147 @@
+package org.rattanhead.daemon.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+import org.rattanhead.daemon.gateway.GatewayRig;
+import org.rattanhead.daemon.gateway.RawCaller;
+import org.rattanhead.house.standin.RawAnswer;
+import org.rattanhead.house.standin.RawServer;
+import org.rattanhead.house.standin.StoreStandin;
+
+/**
+ * Gateways, a store and instances, with a proxy on each link, and the faults that may
+ * befall them.
+ */
+final class SoakFleet implements AutoCloseable {
+
+	private final StoreStandin store = new StoreStandin();
+
+	private final List<RawServer> instances = new ArrayList<>();
+
+	private final List<FaultProxy> links = new ArrayList<>();
+
+	private final List<SoakProcess> gateways = new ArrayList<>();
+
+	private final AtomicLong version = new AtomicLong();
+
+	SoakFleet(Path folder, int gatewayCount, int instanceCount, SoakLedger ledger, RandomGenerator random)
+			throws IOException {
+		configure();
+		for (int index = 0; index < instanceCount; index++) {
+			RawServer instance = new RawServer((request) -> ledger.serve(request, random));
+			this.instances.add(instance);
+			GatewayRig.register(this.store, index, link(instance.address()).address(), "ready");
+		}
+		for (int index = 0; index < gatewayCount; index++) {
+			this.gateways.add(new SoakProcess(folder, "g" + index, link(this.store.server().address()).address()));
+		}
+	}
+
+	InetSocketAddress callers(RandomGenerator random) {
+		return this.gateways.get(random.nextInt(this.gateways.size())).callers();
+	}
+
+	/**
+	 * Draws a fault.
+	 * @param random draws it
+	 * @return the fault
+	 */
+	SoakFault fault(RandomGenerator random) {
+		int gateway = random.nextInt(this.gateways.size());
+		SoakProcess process = this.gateways.get(gateway);
+		int link = random.nextInt(this.links.size());
+		LinkState state = LinkState.values()[1 + random.nextInt(LinkState.values().length - 1)];
+		int instance = random.nextInt(this.instances.size());
+		List<SoakFault> table = List.of(
+				new SoakFault("link " + link + " " + state, () -> this.links.get(link).state(state),
+						() -> this.links.get(link).state(LinkState.OPEN)),
+				new SoakFault("kill g" + gateway, () -> process.signal("KILL"), () -> restart(process)),
+				new SoakFault("stop g" + gateway, () -> process.signal("TERM"), () -> restart(process)),
+				new SoakFault("freeze g" + gateway, () -> process.signal("STOP"), () -> process.signal("CONT")),
+				new SoakFault("reload g" + gateway, () -> process.signal("HUP"), () -> process.signal("HUP")),
+				new SoakFault("store refuses",
+						() -> this.store.server().answer((request) -> RawAnswer.of(503, List.of(), "")),
+						() -> this.store.server().answer(this.store::serve)),
+				new SoakFault("store loses answers", () -> this.store.server().answer((request) -> {
+					this.store.serve(request);
+					return RawAnswer.none();
+				}), () -> this.store.server().answer(this.store::serve)),
+				new SoakFault("configuration", this::configure, this::configure),
+				new SoakFault("instance " + instance + " leaves", () -> register(instance, "draining"),
+						() -> register(instance, "ready")));
+		return table.get(random.nextInt(table.size()));
+	}
+
+	/**
+	 * Waits until every gateway answers a lookup again.
+	 * @param boundMillis how long it may take, in milliseconds
+	 * @return the hosts that did not, by number
+	 */
+	List<Integer> lost(long boundMillis) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(boundMillis);
+		List<Integer> waiting = new ArrayList<>();
+		for (int index = 0; index < this.gateways.size(); index++) {
+			waiting.add(index);
+		}
+		while (!waiting.isEmpty() && System.nanoTime() < endNanos) {
+			waiting.removeIf((index) -> answers(this.gateways.get(index)));
+			TimeUnit.MILLISECONDS.sleep(100);
+		}
+		return waiting;
+	}
+
+	private static boolean answers(SoakProcess gateway) {
+		try (RawCaller caller = new RawCaller(gateway.callers())) {
+			return caller.send(RawCaller.request("GET", "/look/last", "last-" + System.nanoTime(), ""))
+				.answer()
+				.startsWith("HTTP/1.1 200");
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private static void restart(SoakProcess process) throws IOException, InterruptedException {
+		// Another fault may have frozen it meanwhile.
+		process.signal("CONT");
+		if (!process.alive() || process.exits()) {
+			process.start();
+		}
+	}
+
+	private FaultProxy link(InetSocketAddress target) throws IOException {
+		FaultProxy link = new FaultProxy(target);
+		this.links.add(link);
+		return link;
+	}
+
+	private void register(int instance, String state) {
+		GatewayRig.register(this.store, instance, this.links.get(instance).address(), state);
+	}
+
+	private void configure() {
+		GatewayRig.configure(this.store, this.version.incrementAndGet(), "");
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (SoakProcess gateway : this.gateways) {
+			gateway.close();
+		}
+		for (FaultProxy link : this.links) {
+			link.close();
+		}
+		for (RawServer instance : this.instances) {
+			instance.close();
+		}
+		this.store.close();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakTests.java
@@ -0,0 +1,106 @@
+package org.rattanhead.daemon.soak;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Runs gateways under overlapping faults and checks the promises to callers. By hand:
+ * {@code bin/soak FIRST_SEED SEEDS SECONDS}.
+ */
+class SoakTests {
+
+	/** Seeds that run in every build; those that ever failed stay here. */
+	private static final long[] KEPT_SEEDS = { 1, 2 };
+
+	private static final int GATEWAYS = Integer.getInteger("rattanhead.soak.gateways", 3);
+
+	private static final int CALLERS = 6;
+
+	private static final long SECONDS = Long.getLong("rattanhead.soak.seconds", 6);
+
+	/** The time until service is back after all faults, from the platform's bounds. */
+	private static final long RECOVERY_MILLIS = 12_000;
+
+	private static final int MAX_FAULT_MILLIS = 1_500;
+
+	private static final int MAX_PAUSE_MILLIS = 700;
+
+	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
+	private Path folder;
+
+	static LongStream seeds() {
+		long first = Long.getLong("rattanhead.soak.first", 0);
+		long count = Long.getLong("rattanhead.soak.count", 0);
+		return (count > 0) ? LongStream.range(first, first + count) : LongStream.of(KEPT_SEEDS);
+	}
+
+	@ParameterizedTest(name = "seed {0}")
+	@MethodSource("seeds")
+	void keepsItsPromisesUnderFaults(long seed) throws Exception {
+		SoakLedger ledger = new SoakLedger();
+		List<String> faults = new ArrayList<>();
+		List<Integer> lost;
+		SplittableRandom random = new SplittableRandom(seed);
+		try (SoakFleet fleet = new SoakFleet(this.folder, GATEWAYS, 3, ledger, threadSafe(random.split()))) {
+			assertThat(fleet.lost(RECOVERY_MILLIS)).as("gateways that did not start").isEmpty();
+			AtomicBoolean stopped = new AtomicBoolean();
+			List<Thread> callers = new ArrayList<>();
+			for (int index = 0; index < CALLERS; index++) {
+				Thread caller = new Thread(
+						new SoakCaller("s" + seed + "c" + index, fleet, ledger, random.split(), stopped));
+				caller.start();
+				callers.add(caller);
+			}
+			injectFaults(fleet, random, faults);
+			lost = fleet.lost(RECOVERY_MILLIS);
+			stopped.set(true);
+			for (Thread caller : callers) {
+				caller.join();
+			}
+		}
+		assertThat(ledger.brokenPromises()).as("seed %d, faults %s", seed, faults).isEmpty();
+		assertThat(lost).as("gateways without service, seed %d, faults %s, logs in %s", seed, faults, this.folder)
+			.isEmpty();
+		assertThat(ledger.answered()).as("answers to %d requests", ledger.asked()).isPositive();
+	}
+
+	private static void injectFaults(SoakFleet fleet, SplittableRandom random, List<String> faults) throws Exception {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECONDS);
+		List<SoakFault> running = new ArrayList<>();
+		while (System.nanoTime() < endNanos) {
+			SoakFault fault = fleet.fault(random);
+			faults.add(fault.name());
+			fault.begin().run();
+			running.add(fault);
+			TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+			// Faults overlap: one of those that run ends, not always the newest.
+			if (running.size() > 1 || random.nextBoolean()) {
+				TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_FAULT_MILLIS));
+				running.remove(random.nextInt(running.size())).end().run();
+			}
+		}
+		for (SoakFault fault : running) {
+			fault.end().run();
+		}
+	}
+
+	private static RandomGenerator threadSafe(SplittableRandom source) {
+		// Instances answer on several threads.
+		return new Random(source.nextLong());
+	}
+
+}
