Refuse at once a prompt that no instances can read before its deadline

A request that cannot be placed after it may have run is no longer said to be not run. EnginePlacementTests has the rows.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -153,8 +153,17 @@
 		end(forwarding, nowNanos, commands);
 	}
 
-	void noInstance(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
-		fail(forwarding, notRunProblem("No instance of the service takes new work now."), nowNanos, commands);
+	/**
+	 * Gives up a request that cannot be placed. One that an instance may have run is not
+	 * said to be not run.
+	 * @param forwarding the request
+	 * @param detail why it cannot be placed
+	 * @param nowNanos the time on the monotonic clock
+	 * @param commands receives what follows
+	 */
+	void refused(Forwarding forwarding, String detail, long nowNanos, List<ForwardCommand> commands) {
+		fail(forwarding, (forwarding.runs() > 0) ? ranProblem(forwarding, detail) : notRunProblem(detail), nowNanos,
+				commands);
 	}
 
 	private void notRun(Forwarding forwarding, AnswerHead head, long nowNanos, List<ForwardCommand> commands) {
@@ -186,19 +195,16 @@
 		this.dispatcher.withdraw(forwarding, nowNanos, commands);
 		commands.add(note("failed-attempt", forwarding, detail, nowNanos));
 		if (mayRetry(forwarding, arrived, nowNanos)
-				&& this.dispatcher.dispatch(forwarding, nowNanos, commands) != DispatchResult.NO_INSTANCE) {
+				&& !this.dispatcher.dispatch(forwarding, nowNanos, commands).refused()) {
 			if (arrived) {
 				this.state.budget().retry(forwarding.service().name(), nowNanos);
 			}
 			return;
 		}
-		Problem problem = notRunProblem("No instance ran the request; the last one: " + detail + ".");
-		if (forwarding.runs() > 0) {
-			problem = forwarding.route().repeatable()
-					? Problem.failed(ProblemKind.UPSTREAM_FAILED, "The instance failed: " + detail + ".")
-					: Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "The instance may have run it: " + detail + ".");
-		}
-		fail(forwarding, problem, nowNanos, commands);
+		fail(forwarding,
+				(forwarding.runs() > 0) ? ranProblem(forwarding, detail + ".")
+						: notRunProblem("No instance ran the request; the last one: " + detail + "."),
+				nowNanos, commands);
 	}
 
 	private void fail(Forwarding forwarding, Problem problem, long nowNanos, List<ForwardCommand> commands) {
@@ -228,6 +234,12 @@
 				+ Millis.toNanos(Math.max(MIN_PAUSE_MILLIS, PAUSE_FACTOR * forwarding.route().targetGapMillis()));
 	}
 
+	private static Problem ranProblem(Forwarding forwarding, String detail) {
+		return forwarding.route().repeatable()
+				? Problem.failed(ProblemKind.UPSTREAM_FAILED, "The instance failed: " + detail)
+				: Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "The instance may have run it: " + detail);
+	}
+
 	private static Problem notRunProblem(String detail) {
 		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.rattanhead.core.Millis;
+import org.rattanhead.core.forward.EngineModel;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.Helper;
 import org.rattanhead.core.forward.LoadEntry;
@@ -62,6 +63,9 @@
 			return DispatchResult.NO_INSTANCE;
 		}
 		PlacementPlan plan = found.get();
+		if (hopeless(forwarding, nowNanos)) {
+			return DispatchResult.TOO_LONG;
+		}
 		if (HoldRule.holds(forwarding, plan, nowNanos)) {
 			forwarding.hold();
 			return DispatchResult.HELD;
@@ -131,6 +135,13 @@
 		this.state.tickets().release(forwarding.attempt(), nowNanos, commands);
 	}
 
+	private boolean hopeless(Forwarding forwarding, long nowNanos) {
+		Optional<EngineModel> engine = forwarding.service().engine();
+		long promptTokens = forwarding.request().tokens().orElse(NO_TOKENS).promptTokens();
+		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens,
+				this.state.fleet().openCount(forwarding.service())) >= forwarding.remainingMillis(nowNanos);
+	}
+
 	private Optional<PlacementPlan> plan(Forwarding forwarding, long nowNanos) {
 		TokenCounts tokens = forwarding.request().tokens().orElse(NO_TOKENS);
 		boolean engine = forwarding.service().engine().isPresent() && tokens.promptTokens() > 0;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
@@ -89,6 +89,17 @@
 		return engine.readMillis(promptTokens) <= WHOLE_READ_MILLIS;
 	}
 
+	/**
+	 * Estimates the time to read a prompt if all engines were idle.
+	 * @param engine the figures of an engine
+	 * @param promptTokens the prompt, in tokens
+	 * @param engines the engines
+	 * @return the time, in milliseconds
+	 */
+	static double leastReadMillis(EngineModel engine, long promptTokens, int engines) {
+		return engine.readMillis(promptTokens) / Math.max(1, Math.min(engines, MAX_HELPERS + 1));
+	}
+
 	private static PlacementPlan whole(PlacementQuery query, EngineModel engine, double readMillis,
 			List<InstanceLoad> candidates, long nowNanos) {
 		InstanceLoad best = null;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -129,9 +129,7 @@
 			Forwarding forwarding = this.admission.admit(request, nowNanos);
 			this.state.add(forwarding);
 			this.state.budget().request(forwarding.service().name(), nowNanos);
-			if (this.dispatcher.dispatch(forwarding, nowNanos, commands) == DispatchResult.NO_INSTANCE) {
-				this.attempts.noInstance(forwarding, nowNanos, commands);
-			}
+			dispatch(forwarding, nowNanos, commands);
 		}
 		catch (ProblemException ex) {
 			commands.add(new NoteDecision("refused", request.id().value(), request.callerAttempt(), "",
@@ -142,6 +140,13 @@
 		return commands;
 	}
 
+	private void dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+		DispatchResult result = this.dispatcher.dispatch(forwarding, nowNanos, commands);
+		if (result.refused()) {
+			this.attempts.refused(forwarding, result.refusal(), nowNanos, commands);
+		}
+	}
+
 	private List<ForwardCommand> current(AttemptId attempt, BiConsumer<Forwarding, List<ForwardCommand>> rule) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		this.state.current(attempt).ifPresent((forwarding) -> rule.accept(forwarding, commands));
@@ -172,9 +177,7 @@
 				this.attempts.expired(forwarding, nowNanos, commands);
 			}
 			else if (forwarding.stage() == ForwardStage.HELD) {
-				if (this.dispatcher.dispatch(forwarding, nowNanos, commands) == DispatchResult.NO_INSTANCE) {
-					this.attempts.noInstance(forwarding, nowNanos, commands);
-				}
+				dispatch(forwarding, nowNanos, commands);
 			}
 			else if (forwarding.overdue(nowNanos)) {
 				this.attempts.overdue(forwarding, nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -96,6 +96,19 @@
 				&& !this.evacuated.contains(instance.failureDomain());
 	}
 
+	/**
+	 * Counts the instances of a service that are registered and take new work, those that
+	 * failed lately included.
+	 * @param service the service
+	 * @return the number
+	 */
+	int openCount(ServiceLimits service) {
+		return (int) this.instances.values()
+			.stream()
+			.filter((load) -> load.instance().service().equals(service.name()) && open(load))
+			.count();
+	}
+
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/EnginePlacementTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/EnginePlacementTests.java
@@ -10,6 +10,7 @@
 import org.rattanhead.core.forward.AnswerVerdict;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.LoadEntry;
+import org.rattanhead.core.problem.Execution;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -95,6 +96,23 @@
 		assertThat(rig.all(CallInstance.class)).hasSize((millis < 8_000) ? 1 : 0);
 	}
 
+	@ParameterizedTest(name = "{0} tokens, {1} engines, {2} of them gone later: refused {3}")
+	@CsvSource({ "900000, 8, 0, at once", "900000, 16, 8, when they go", "300000, 8, 0, never" })
+	void refusesAtOnceWhatNoInstancesCanRead(long tokens, int engines, int gone, String when) {
+		ForwardRig rig = ForwardRig.configured(engines, 0);
+		rig.handle(new PeerLoadStarted("peer",
+				IntStream.range(0, engines)
+					.mapToObj((index) -> new LoadEntry("p" + index, "e" + index, 1_000, 5_000, 0, 0, 15_000))
+					.toList()));
+		rig.submit("/long/", tokens, ForwardRig.KEY, 1);
+		rig.pass(100);
+		assertThat(rig.all(RefuseRequest.class)).hasSize(when.equals("at once") ? 1 : 0);
+		rig.handle(new InstancesChanged(ForwardRig.instances(engines - gone, 0)));
+		rig.pass(100);
+		assertThat(rig.all(RefuseRequest.class)).hasSize(when.equals("never") ? 0 : 1)
+			.allSatisfy((refusal) -> assertThat(refusal.problem().execution()).isEqualTo(Execution.NOT_RUN));
+	}
+
 	@ParameterizedTest(name = "{0} {1} tokens: sent within {2} ms")
 	@CsvSource({ "/ask/, 23000, 1000", "/ask/, 5000, 1000", "/long/, 182000, 6000" })
 	void holdsAPromptNoLongerThanItsCallerWaits(String path, long tokens, long millis) {
