Start gateway processes for tests in one place

The soak and GatewayProcessTests wrote the same settings and command line; both use GatewayProcess now.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakProcess.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcess.java
@@ -1,4 +1,4 @@
-package org.rattanhead.daemon.soak;
+package org.rattanhead.daemon.gateway;
 
 import java.io.File;
 import java.io.IOException;
@@ -14,7 +14,7 @@
 /**
  * A gateway as a process that is sent signals. Only processes started here are ended.
  */
-final class SoakProcess implements AutoCloseable {
+public final class GatewayProcess implements AutoCloseable {
 
 	private static final long EXIT_SECONDS = 8;
 
@@ -26,7 +26,14 @@
 
 	private Process process;
 
-	SoakProcess(Path parent, String host, InetSocketAddress store) throws IOException {
+	/**
+	 * Starts a gateway.
+	 * @param parent the folder for its settings and its log
+	 * @param host the name of its host
+	 * @param store the address of the store
+	 * @throws IOException if it cannot be started
+	 */
+	public GatewayProcess(Path parent, String host, InetSocketAddress store) throws IOException {
 		this.folder = Files.createDirectories(parent.resolve(host));
 		this.callers = free();
 		this.settings = Files.writeString(this.folder.resolve("gateway.ini"), """
@@ -50,11 +57,19 @@
 		start();
 	}
 
-	InetSocketAddress callers() {
+	/**
+	 * Returns where callers connect.
+	 * @return the address
+	 */
+	public InetSocketAddress callers() {
 		return this.callers;
 	}
 
-	void start() throws IOException {
+	/**
+	 * Starts the process again, with the same addresses.
+	 * @throws IOException if it cannot be started
+	 */
+	public void start() throws IOException {
 		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 		File log = this.folder.resolve("log").toFile();
 		this.process = new ProcessBuilder(List.of(java, "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
@@ -65,20 +80,44 @@
 			.start();
 	}
 
-	void signal(String name) throws IOException, InterruptedException {
+	/**
+	 * Sends a signal, unless the process has ended.
+	 * @param name the signal, such as TERM
+	 * @throws IOException if it cannot be sent
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public void signal(String name) throws IOException, InterruptedException {
 		if (this.process.isAlive()) {
 			new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
 		}
 	}
 
-	boolean exits() throws InterruptedException {
+	/**
+	 * Waits for the end of the process.
+	 * @return false if it goes on for too long
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean exits() throws InterruptedException {
 		return this.process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
 	}
 
-	boolean alive() {
+	/**
+	 * Tells whether the process runs.
+	 * @return true if it does
+	 */
+	public boolean alive() {
 		return this.process.isAlive();
 	}
 
+	/**
+	 * Returns what the process has written.
+	 * @return the text
+	 * @throws IOException if it cannot be read
+	 */
+	public String log() throws IOException {
+		return Files.readString(this.folder.resolve("log"));
+	}
+
 	private static InetSocketAddress free() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
 			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcessTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcessTests.java
@@ -2,17 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import org.rattanhead.daemon.DaemonMain;
 import org.rattanhead.house.standin.RawServer;
 import org.rattanhead.house.standin.StoreStandin;
 
@@ -33,55 +28,22 @@
 				RawServer instance = new RawServer((request) -> GatewayRig.signed(request, "late").after(800))) {
 			GatewayRig.configure(store, 1, "");
 			GatewayRig.register(store, 0, instance.address(), "ready");
-			InetSocketAddress callers = free();
-			Process process = start(store, callers);
-			try {
-				GatewayRig.await(() -> call(callers, "a1").endsWith("late"));
-				try (RawCaller caller = new RawCaller(callers)) {
+			try (GatewayProcess process = new GatewayProcess(this.folder, "a", store.server().address())) {
+				GatewayRig.await(() -> call(process.callers(), "a1").endsWith("late"));
+				try (RawCaller caller = new RawCaller(process.callers())) {
 					caller.send(RawCaller.request("GET", "/order/a", "a2", ""));
 					GatewayRig.await(() -> instance.requests()
 						.stream()
 						.anyMatch((request) -> request.target().equals("/order/a")));
-					new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+					process.signal(signal);
 					assertThat(caller.answer()).endsWith("late");
 				}
-				assertThat(process.waitFor(8, TimeUnit.SECONDS)).isEqualTo(!alive);
-				assertThat(Files.readString(this.folder.resolve("out")))
-					.contains(alive ? "settings read again" : "every request has ended");
-			}
-			finally {
-				process.destroyForcibly();
+				assertThat(process.exits()).isEqualTo(!alive);
+				assertThat(process.log()).contains(alive ? "settings read again" : "every request has ended");
 			}
 		}
 	}
 
-	private Process start(StoreStandin store, InetSocketAddress callers) throws IOException {
-		Path settings = Files.writeString(this.folder.resolve("gateway.ini"), """
-				[gateway]
-				host = a
-				callers = 127.0.0.1:%d
-				ready = 127.0.0.1:%d
-				directory = 127.0.0.1:%d
-				mesh = 127.0.0.1:%d
-				metrics = 127.0.0.1:%d
-				[platform]
-				store = 127.0.0.1:%d
-				[limits]
-				retry-ratio = 0.2
-				retry-slack = 100
-				retry-window = 10s
-				max-hold = 20s
-				shutdown-grace = 4s
-				""".formatted(callers.getPort(), free().getPort(), free().getPort(), free().getPort(), free().getPort(),
-				store.server().address().getPort()));
-		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-		return new ProcessBuilder(List.of(java, "-Xmx194m", "-cp", System.getProperty("java.class.path"),
-				DaemonMain.class.getName(), "--settings", settings.toString()))
-			.redirectOutput(this.folder.resolve("out").toFile())
-			.redirectError(this.folder.resolve("err").toFile())
-			.start();
-	}
-
 	private static String call(InetSocketAddress callers, String attempt) {
 		try (RawCaller caller = new RawCaller(callers)) {
 			return caller.send(RawCaller.request("GET", "/look/a", attempt, "")).answer();
@@ -91,10 +53,4 @@
 		}
 	}
 
-	private static InetSocketAddress free() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-		}
-	}
-
 }
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakFleet.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakFleet.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
+import org.rattanhead.daemon.gateway.GatewayProcess;
 import org.rattanhead.daemon.gateway.GatewayRig;
 import org.rattanhead.daemon.gateway.RawCaller;
 import org.rattanhead.house.standin.RawAnswer;
@@ -27,7 +28,7 @@
 
 	private final List<FaultProxy> links = new ArrayList<>();
 
-	private final List<SoakProcess> gateways = new ArrayList<>();
+	private final List<GatewayProcess> gateways = new ArrayList<>();
 
 	private final AtomicLong version = new AtomicLong();
 
@@ -40,7 +41,7 @@
 			GatewayRig.register(this.store, index, link(instance.address()).address(), "ready");
 		}
 		for (int index = 0; index < gatewayCount; index++) {
-			this.gateways.add(new SoakProcess(folder, "g" + index, link(this.store.server().address()).address()));
+			this.gateways.add(new GatewayProcess(folder, "g" + index, link(this.store.server().address()).address()));
 		}
 	}
 
@@ -55,7 +56,7 @@
 	 */
 	SoakFault fault(RandomGenerator random) {
 		int gateway = random.nextInt(this.gateways.size());
-		SoakProcess process = this.gateways.get(gateway);
+		GatewayProcess process = this.gateways.get(gateway);
 		int link = random.nextInt(this.links.size());
 		LinkState state = LinkState.values()[1 + random.nextInt(LinkState.values().length - 1)];
 		int instance = random.nextInt(this.instances.size());
@@ -97,7 +98,7 @@
 		return waiting;
 	}
 
-	private static boolean answers(SoakProcess gateway) {
+	private static boolean answers(GatewayProcess gateway) {
 		try (RawCaller caller = new RawCaller(gateway.callers())) {
 			return caller.send(RawCaller.request("GET", "/look/last", "last-" + System.nanoTime(), ""))
 				.answer()
@@ -108,7 +109,7 @@
 		}
 	}
 
-	private static void restart(SoakProcess process) throws IOException, InterruptedException {
+	private static void restart(GatewayProcess process) throws IOException, InterruptedException {
 		// Another fault may have frozen it meanwhile.
 		process.signal("CONT");
 		if (!process.alive() || process.exits()) {
@@ -132,7 +133,7 @@
 
 	@Override
 	public void close() throws Exception {
-		for (SoakProcess gateway : this.gateways) {
+		for (GatewayProcess gateway : this.gateways) {
 			gateway.close();
 		}
 		for (FaultProxy link : this.links) {
