--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardDeciderTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardDeciderTests.java
@@ -1,5 +1,6 @@
 package org.rattanhead.decision.forward;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -13,9 +14,11 @@
 
 import org.rattanhead.core.forward.AnswerVerdict;
 import org.rattanhead.core.forward.AttemptFault;
+import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.problem.Execution;
 import org.rattanhead.core.problem.ProblemKind;
 import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.core.request.RequestId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -234,6 +237,29 @@
 		assertThat(rig.all(CallInstance.class)).as("the engine is silent").hasSizeGreaterThan(2);
 	}
 
+	@ParameterizedTest(name = "callers that leave after {0} ms")
+	@ValueSource(longs = { 1_300, 2_000, 60_000 })
+	void leavesADeadEngineThoughWorkIsPlacedOnIt(long patienceMillis) {
+		ForwardRig rig = ForwardRig.configured(2, 0);
+		List<RequestId> waiting = new ArrayList<>();
+		String dead = null;
+		for (int request = 0; request < 15; request++) {
+			waiting.add(rig.submit("/ask/", 3_000, ForwardRig.KEY, request));
+			ForwardCall call = rig.lastCall().call();
+			dead = (dead != null) ? dead : call.instance().id();
+			if (!call.instance().id().equals(dead)) {
+				rig.answer(call.attempt(), 200, AnswerVerdict.RUN, true);
+				rig.bytes(call.attempt(), "id: 1\ndata: a\n\n");
+			}
+			rig.pass(200);
+			if (request * 200L >= patienceMillis) {
+				rig.handle(new ForwardCallerLeft(waiting.remove(0)));
+			}
+		}
+		rig.submit("/ask/", 3_000, ForwardRig.KEY, 99);
+		assertThat(rig.lastCall().call().instance().id()).isNotEqualTo(dead);
+	}
+
 	@ParameterizedTest(name = "refusing new work: {0}")
 	@ValueSource(booleans = { true, false })
 	void drainsAfterTheLastRequest(boolean refuseNew) {
