--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/ForwardRequest.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/ForwardRequest.java
@@ -27,8 +27,10 @@
  * @param lastEventId the id of the last event that the caller received, if it resumes a
  * stream
  * @param fingerprint equal for repetitions of one request under new attempt ids
+ * @param sharedParts the ids of the parts of the prompt that other requests may share
  */
 public record ForwardRequest(RequestId id, String callerAttempt, String method, String host, String target, String path,
 		List<HttpField> fields, Payload body, OptionalLong deadlineMillis, Optional<String> key,
-		Optional<TokenCounts> tokens, OptionalLong answerTokensHint, Optional<String> lastEventId, long fingerprint) {
+		Optional<TokenCounts> tokens, OptionalLong answerTokensHint, Optional<String> lastEventId, long fingerprint,
+		List<Long> sharedParts) {
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -96,8 +96,10 @@
 			return;
 		}
 		forwarding.plan().primary().succeeded();
-		this.state.suspects().recordSuccess(forwarding.request().fingerprint());
-		commands.add(logDecision("answered", forwarding, "whole", nowNanos));
+		if (this.state.suspects().recordSuccess(forwarding.request().fingerprint())) {
+			commands.add(AttemptLog.decision("crashes-cleared", forwarding, "an attempt succeeded", nowNanos));
+		}
+		commands.add(AttemptLog.decision("answered", forwarding, "whole", nowNanos));
 		end(forwarding, nowNanos, commands);
 	}
 
@@ -106,6 +108,8 @@
 		forwarding.plan().primary().failed(nowNanos);
 		forwarding.exclude(forwarding.plan().primary().instance().id());
 		if (fault == AttemptFault.BROKEN) {
+			int knownCrashes = this.state.suspects().count(forwarding.request().fingerprint());
+			commands.add(AttemptLog.failed(forwarding, fault, knownCrashes, detail, nowNanos));
 			this.state.suspects().recordFailure(forwarding.request().fingerprint(), nowNanos);
 		}
 		if (fault == AttemptFault.NOT_SENT) {
@@ -174,7 +178,7 @@
 
 	void callerDisconnected(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		abort(forwarding, commands);
-		commands.add(logDecision("abandoned", forwarding, "the caller disconnected", nowNanos));
+		commands.add(AttemptLog.decision("abandoned", forwarding, "the caller disconnected", nowNanos));
 		end(forwarding, nowNanos, commands);
 	}
 
@@ -218,7 +222,7 @@
 	private void retryOrFail(Forwarding forwarding, String detail, boolean wasSent, long nowNanos,
 			List<ForwardCommand> commands) {
 		this.dispatcher.releaseAttempt(forwarding, nowNanos, commands);
-		commands.add(logDecision("failed-attempt", forwarding, detail, nowNanos));
+		commands.add(AttemptLog.decision("failed-attempt", forwarding, detail, nowNanos));
 		if (mayRetry(forwarding, wasSent, nowNanos)
 				&& !this.dispatcher.dispatch(forwarding, nowNanos, commands).refused()) {
 			if (wasSent) {
@@ -233,7 +237,7 @@
 	}
 
 	private void fail(Forwarding forwarding, Problem problem, long nowNanos, List<ForwardCommand> commands) {
-		commands.add(logDecision((problem.execution() == Execution.NOT_RUN) ? "refused" : "gave-up", forwarding,
+		commands.add(AttemptLog.decision((problem.execution() == Execution.NOT_RUN) ? "refused" : "gave-up", forwarding,
 				problem.kind().slug() + ": " + problem.detail(), nowNanos));
 		commands.add(forwarding.relay().started() ? new AbortReply(forwarding.request().id())
 				: new RefuseRequest(forwarding.request().id(), problem));
@@ -269,14 +273,4 @@
 		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS);
 	}
 
-	private static LogDecision logDecision(String decision, Forwarding forwarding, String outcome, long nowNanos) {
-		String instance = (forwarding.plan() != null) ? forwarding.plan().primary().instance().id() : "";
-		return new LogDecision(decision, forwarding.request().id().value(), forwarding.request().callerAttempt(),
-				instance, outcome,
-				List.of(DecisionInput.of("attempt", forwarding.attempts()), DecisionInput.of("runs", forwarding.runs()),
-						DecisionInput.of("first_ms", forwarding.firstDataMillis()),
-						DecisionInput.of("elapsed_ms", forwarding.elapsedMillis(nowNanos)),
-						DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
-	}
-
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashSuspects.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashSuspects.java
@@ -41,9 +41,14 @@
 		this.lastFailureNanos.put(fingerprint, nowNanos);
 	}
 
-	void recordSuccess(long fingerprint) {
-		this.ownCounts.remove(fingerprint);
+	/**
+	 * Resets the count of this daemon.
+	 * @param fingerprint the fingerprint of a request that succeeded
+	 * @return whether this daemon had counted failures
+	 */
+	boolean recordSuccess(long fingerprint) {
 		this.lastFailureNanos.remove(fingerprint);
+		return this.ownCounts.remove(fingerprint) != null;
 	}
 
 	void updatePeer(String host, List<CrashReport> reports) {
@@ -55,13 +60,22 @@
 	}
 
 	boolean isBlocked(long fingerprint) {
+		return count(fingerprint) >= BLOCKING_FAILURES;
+	}
+
+	/**
+	 * Returns the crashes attributed to a request.
+	 * @param fingerprint the fingerprint of the request
+	 * @return the crashes that all daemons reported
+	 */
+	int count(long fingerprint) {
 		int count = this.ownCounts.getOrDefault(fingerprint, 0);
 		for (List<CrashReport> reports : this.reportsByPeer.values()) {
 			for (CrashReport report : reports) {
 				count += (report.fingerprint() == fingerprint) ? report.count() : 0;
 			}
 		}
-		return count >= BLOCKING_FAILURES;
+		return count;
 	}
 
 	List<CrashReport> reports(long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -131,6 +131,14 @@
 		this.firstDataMillis = (this.firstDataMillis < 0) ? elapsedMillis(nowNanos) : this.firstDataMillis;
 	}
 
+	/**
+	 * Returns whether data of the current attempt arrived.
+	 * @return true if some did
+	 */
+	boolean dataReceived() {
+		return this.dataReceived;
+	}
+
 	/**
 	 * Returns the time from the arrival of the request to the first data of an answer.
 	 * @return the time in milliseconds, -1 if none has arrived
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -132,13 +132,17 @@
 	}
 
 	RequestId submit(String path, long promptTokens, String key, long fingerprint) {
+		return submit(path, promptTokens, key, fingerprint, List.of());
+	}
+
+	RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts) {
 		this.requests++;
 		RequestId id = new RequestId("self-" + this.requests);
 		handle(new ForwardSubmitted(
 				new ForwardRequest(id, "a" + this.requests, "POST", "host", path + "x", path + "x", List.of(),
 						Payload.of("body"), OptionalLong.of(8_000), Optional.of(key).filter((text) -> !text.isEmpty()),
 						(promptTokens > 0) ? Optional.of(new TokenCounts(promptTokens, 2_000)) : Optional.empty(),
-						OptionalLong.empty(), Optional.empty(), fingerprint)));
+						OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts)));
 		return id;
 	}
 
