--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/CrashReport.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/CrashReport.java
@@ -1,10 +1,17 @@
 package org.rattanhead.core.forward;
 
+import java.util.List;
+import java.util.OptionalLong;
+
 /**
- * The number of instance crashes attributed to a request.
+ * What a daemon knows of a suspect: a request, or a part that prompts share, with which
+ * instances crashed.
  *
- * @param fingerprint the fingerprint of the request
- * @param count the number of crashes that one daemon observed
+ * @param suspect the fingerprint of the request, or the id of the part
+ * @param crashes the crashes since an instance last answered it
+ * @param soundAgeMillis the time since an instance began an answer to it that went on, in
+ * milliseconds; empty if none is known
+ * @param blockedMillis how much longer it is blocked, in milliseconds; 0 if it is not
  */
-public record CrashReport(long fingerprint, int count) {
+public record CrashReport(long suspect, List<ReportedCrash> crashes, OptionalLong soundAgeMillis, long blockedMillis) {
 }
--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/ForwardRequest.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/ForwardRequest.java
@@ -1,5 +1,7 @@
 package org.rattanhead.core.forward;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,4 +35,18 @@
 		List<HttpField> fields, Payload body, OptionalLong deadlineMillis, Optional<String> key,
 		Optional<TokenCounts> tokens, OptionalLong answerTokensHint, Optional<String> lastEventId, long fingerprint,
 		List<Long> sharedParts) {
+
+	/**
+	 * Returns the keys under which crashes of instances are counted: the shared parts of
+	 * the prompt, the last one first, since the fewest requests share it; then the
+	 * fingerprint.
+	 * @return the keys
+	 */
+	public List<Long> crashKeys() {
+		List<Long> keys = new ArrayList<>(this.sharedParts);
+		Collections.reverse(keys);
+		keys.add(this.fingerprint);
+		return keys;
+	}
+
 }
--- a/rattanhead-core/src/main/java/org/rattanhead/core/keyed/KeyedStream.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/keyed/KeyedStream.java
@@ -11,7 +11,7 @@
 	/** The registrations of upstream instances. Read-only for daemons. */
 	INSTANCES,
 
-	/** The announcements of daemons. */
+	/** The announcements of daemons, and the suspects that they block. */
 	MEMBERS
 
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -73,8 +73,6 @@
 	 */
 	private static final FollowPlan MEMBERS_PLAN = new FollowPlan(KeyedStream.MEMBERS, 2_000, 0, 6_000);
 
-	private static final long ANNOUNCE_RETRY_MILLIS = 500;
-
 	/**
 	 * How long new requests are accepted after SIGTERM, while callers may still use the
 	 * address of this daemon.
@@ -148,11 +146,12 @@
 		ForwardCallDuty calls = own(new ForwardCallDuty(this.caller, new InstanceCodec(), this.decisions));
 		this.frontEnd = own(
 				new ForwardFrontEnd(settings.host(), forwardSettings(), new CallerCodec(), this.decisions, pages()));
-		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics,
+		KeyedStore store = new HttpKeyedStore(this.storeCaller, settings.storeAddress());
+		RecordWriter records = new RecordWriter(store, this.ticker);
+		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
 				() -> this.drained.complete(null)));
 		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
-		KeyedStore store = new HttpKeyedStore(this.storeCaller, settings.storeAddress());
 		Consumer<StreamUpdate> sendUpdate = (update) -> mesh.offer(new SendStreamUpdate(update));
 		BiFunction<FollowPlan, KeyedListener, KeyedFollower> follow = (plan, listener) -> new KeyedFollower(store, plan,
 				this.ticker, listener, sendUpdate);
@@ -160,9 +159,10 @@
 				follow.apply(OPERATORS_PLAN, new OperatorRecordListener(this.decisions, this.status)));
 		followers.add(KeyedStream.INSTANCES, follow.apply(INSTANCES_PLAN,
 				new InstanceRecordListener(this.decisions, this.status, System::nanoTime)));
-		followers.add(KeyedStream.MEMBERS, follow.apply(MEMBERS_PLAN,
-				new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)))));
-		announce(store);
+		followers.add(KeyedStream.MEMBERS,
+				follow.apply(MEMBERS_PLAN, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
+						(changes) -> this.decisions.offer(changes, Urgency.CONTROL))));
+		records.put(this.self.host(), MemberRecordCodec.encode(this.self));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -208,16 +208,6 @@
 		}
 	}
 
-	private void announce(KeyedStore store) {
-		store.put(KeyedStream.MEMBERS, this.self.host(), MemberRecordCodec.encode(this.self))
-			.whenComplete((done, failure) -> {
-				if (failure != null) {
-					LOGGER.warn("platform: the daemon could not be announced; retrying: {}", failure.getMessage());
-					this.ticker.after(ANNOUNCE_RETRY_MILLIS, () -> announce(store));
-				}
-			});
-	}
-
 	private ForwardSettings forwardSettings() {
 		return new ForwardSettings(this.settings.callersAddress(), MAX_HEADER_BYTES, MAX_BODY_BYTES,
 				HEADER_TIMEOUT_MILLIS, BODY_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -6,16 +6,19 @@
 import org.rattanhead.decision.forward.BeginReply;
 import org.rattanhead.decision.forward.CallInstance;
 import org.rattanhead.decision.forward.ContinueReply;
+import org.rattanhead.decision.forward.DeleteSuspect;
 import org.rattanhead.decision.forward.FinishReply;
 import org.rattanhead.decision.forward.ForwardCommand;
 import org.rattanhead.decision.forward.ForwardDrained;
 import org.rattanhead.decision.forward.LogDecision;
+import org.rattanhead.decision.forward.PublishCrashes;
 import org.rattanhead.decision.forward.PublishHeartbeat;
 import org.rattanhead.decision.forward.PublishLoadEnded;
 import org.rattanhead.decision.forward.PublishLoadStarted;
 import org.rattanhead.decision.forward.RefuseRequest;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReserveTicket;
+import org.rattanhead.decision.forward.StoreSuspect;
 import org.rattanhead.http.forward.ForwardReplyWriter;
 import org.rattanhead.upstream.forward.ForwardCallDuty;
 
@@ -30,7 +33,7 @@
 	private final DecisionLog log = new DecisionLog();
 
 	GatewayRouter(ForwardReplyWriter replies, ForwardCallDuty calls, MeshDuty mesh, GatewayMetrics metrics,
-			Runnable onDrained) {
+			RecordWriter records, Runnable onDrained) {
 		this.handlers.on(CallInstance.class, (command, now) -> done(() -> calls.call(command)))
 			.on(AbortAttempt.class, (command, now) -> done(() -> calls.abort(command)))
 			.on(ReserveTicket.class, (command, now) -> done(() -> calls.reserve(command)))
@@ -43,6 +46,12 @@
 			.on(PublishLoadStarted.class, (command, now) -> done(() -> mesh.offer(new SendLoadStarted(command))))
 			.on(PublishLoadEnded.class, (command, now) -> done(() -> mesh.offer(new SendLoadEnded(command))))
 			.on(PublishHeartbeat.class, (command, now) -> done(() -> mesh.offer(new SendHeartbeat(command))))
+			.on(PublishCrashes.class, (command, now) -> done(() -> mesh.offer(new SendCrashes(command))))
+			.on(StoreSuspect.class,
+					(command, now) -> done(
+							() -> records.put(SuspectRecordCodec.key(command.suspect()), SuspectRecordCodec.BLOCKED)))
+			.on(DeleteSuspect.class,
+					(command, now) -> done(() -> records.delete(SuspectRecordCodec.key(command.suspect()))))
 			.on(LogDecision.class, (command, now) -> done(() -> {
 				metrics.count(command);
 				this.log.write(command, now);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
@@ -1,21 +1,28 @@
 package org.rattanhead.daemon.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.decision.forward.StoredSuspectsChanged;
 import org.rattanhead.platform.keyed.KeyedListener;
 
 /**
- * Decodes the announcements of daemons and passes them on.
+ * Decodes the records that daemons write: their announcements and the suspects that they
+ * block.
  */
 final class MemberRecordListener implements KeyedListener {
 
 	private final Consumer<Member> onMember;
 
-	MemberRecordListener(Consumer<Member> onMember) {
+	private final Consumer<StoredSuspectsChanged> onSuspects;
+
+	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects) {
 		this.onMember = onMember;
+		this.onSuspects = onSuspects;
 	}
 
 	@Override
@@ -25,9 +32,22 @@
 
 	@Override
 	public void onChanges(List<KeyedRecord> records) {
-		records.forEach((record) -> record.value()
-			.flatMap((value) -> MemberRecordCodec.decode(record.key(), value))
-			.ifPresent(this.onMember));
+		List<Long> stored = new ArrayList<>();
+		List<Long> deleted = new ArrayList<>();
+		for (KeyedRecord record : records) {
+			OptionalLong suspect = SuspectRecordCodec.suspect(record.key());
+			if (suspect.isPresent()) {
+				(record.value().isPresent() ? stored : deleted).add(suspect.getAsLong());
+			}
+			else {
+				record.value()
+					.flatMap((value) -> MemberRecordCodec.decode(record.key(), value))
+					.ifPresent(this.onMember);
+			}
+		}
+		if (!stored.isEmpty() || !deleted.isEmpty()) {
+			this.onSuspects.accept(new StoredSuspectsChanged(stored, deleted));
+		}
 	}
 
 	@Override
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -10,12 +10,14 @@
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.PeerCountChanged;
+import org.rattanhead.decision.forward.PeerCrashesReceived;
 import org.rattanhead.decision.forward.PeerHeartbeatReceived;
 import org.rattanhead.decision.forward.PeerLoadEnded;
 import org.rattanhead.decision.forward.PeerLoadStarted;
@@ -84,6 +86,10 @@
 				network().sendLoadEnded(this.table.loadRecipients(), event.command().keys());
 				return true;
 			})
+			.on(SendCrashes.class, (event, now) -> {
+				network().sendCrashes(this.table.loadRecipients(), event.command().reports());
+				return true;
+			})
 			.on(SendStreamUpdate.class, (event, now) -> {
 				if (this.serving) {
 					network().sendStreamUpdate(this.table.recipients(), event.update());
@@ -119,6 +125,11 @@
 		this.decisions.offer(new PeerLoadEnded(host, keys), Urgency.STREAM);
 	}
 
+	@Override
+	public void onCrashes(List<CrashReport> reports) {
+		this.decisions.offer(new PeerCrashesReceived(reports), Urgency.CONTROL);
+	}
+
 	@Override
 	public void onStreamUpdate(String host, StreamUpdate update) {
 		offer(new StreamUpdateReceived(host, update));
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
@@ -0,0 +1,47 @@
+package org.rattanhead.daemon.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.forward.Member;
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.decision.forward.StoredSuspectsChanged;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the records that daemons write to the store.
+ */
+class MemberRecordListenerTests {
+
+	private final List<Member> members = new ArrayList<>();
+
+	private final List<StoredSuspectsChanged> changes = new ArrayList<>();
+
+	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add);
+
+	@ParameterizedTest(name = "suspect {0}, blocked {1}")
+	@CsvSource({ "0, true", "7, true", "7, false", "-1, true", "96483650265325, false", "-9223372036854775808, true" })
+	void readsSuspectsThatDaemonsBlock(long suspect, boolean blocked) {
+		Optional<Payload> value = blocked ? Optional.of(SuspectRecordCodec.BLOCKED) : Optional.empty();
+		this.listener.onChanges(List.of(new KeyedRecord(SuspectRecordCodec.key(suspect), value)));
+		assertThat(this.changes).containsExactly(new StoredSuspectsChanged(blocked ? List.of(suspect) : List.of(),
+				blocked ? List.of() : List.of(suspect)));
+		assertThat(this.members).isEmpty();
+	}
+
+	@ParameterizedTest(name = "key {0}")
+	@ValueSource(strings = { "suspect", "suspect/", "suspect/xyz", "suspect/11112222333344445", "a" })
+	void ignoresOtherRecords(String key) {
+		this.listener.onNewest(List.of(new KeyedRecord(key, Optional.of(Payload.of("blocked")))));
+		assertThat(this.changes).isEmpty();
+		assertThat(this.members).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Finds requests, and parts that prompts share, with which instances crash.
+ */
+package org.rattanhead.decision.crash;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptLog.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptLog.java
@@ -33,7 +33,7 @@
 			long nowNanos) {
 		List<DecisionInput> inputs = new ArrayList<>(progress(forwarding, nowNanos));
 		inputs.add(DecisionInput.of("fault", fault.name()));
-		inputs.add(DecisionInput.of("data_received", Boolean.toString(forwarding.dataReceived())));
+		inputs.add(DecisionInput.of("data_received", Boolean.toString(forwarding.answerBeganNanos().isPresent())));
 		inputs.add(DecisionInput.of("fingerprint", Long.toHexString(forwarding.request().fingerprint())));
 		inputs.add(DecisionInput.of("shared_parts",
 				forwarding.request().sharedParts().stream().map(Long::toHexString).collect(Collectors.joining(" "))));
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
@@ -0,0 +1,37 @@
+package org.rattanhead.decision.forward;
+
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
+
+/**
+ * The problems with which a request ends that no instance answered.
+ */
+final class AttemptProblems {
+
+	private static final long RETRY_AFTER_MILLIS = 300;
+
+	private AttemptProblems() {
+	}
+
+	/**
+	 * Returns the problem of a request that an instance may have run.
+	 * @param forwarding the request
+	 * @param detail what happened
+	 * @return the problem
+	 */
+	static Problem ran(Forwarding forwarding, String detail) {
+		return forwarding.route().repeatable()
+				? Problem.failed(ProblemKind.UPSTREAM_FAILED, "The instance failed: " + detail)
+				: Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "The instance may have run the request: " + detail);
+	}
+
+	/**
+	 * Returns the problem of a request that no instance has run.
+	 * @param detail what happened
+	 * @return the problem
+	 */
+	static Problem notRun(String detail) {
+		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS);
+	}
+
+}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -39,15 +39,16 @@
 	 */
 	private static final int MAX_TIMEOUT_EXTENSIONS = 8;
 
-	private static final long RETRY_AFTER_MILLIS = 300;
-
 	private final ForwardState state;
 
 	private final Dispatcher dispatcher;
 
+	private final CrashEvidence evidence;
+
 	AttemptRules(ForwardState state, Dispatcher dispatcher) {
 		this.state = state;
 		this.dispatcher = dispatcher;
+		this.evidence = new CrashEvidence(state);
 	}
 
 	void answered(Forwarding forwarding, AnswerHead head, long nowNanos, List<ForwardCommand> commands) {
@@ -72,6 +73,7 @@
 					commands);
 		}
 		else {
+			forwarding.answerHead(head);
 			forwarding.relay().head(head);
 			forwarding.stage(ForwardStage.ANSWERING, idleDeadline(forwarding, nowNanos));
 		}
@@ -79,6 +81,7 @@
 
 	void continued(Forwarding forwarding, Payload bytes, long nowNanos, List<ForwardCommand> commands) {
 		forwarding.markDataReceived(nowNanos);
+		this.evidence.answerContinued(forwarding, nowNanos);
 		if (forwarding.relay().receive(bytes, commands)) {
 			forwarding.plan().primary().responseReceived(nowNanos);
 			forwarding.stage(ForwardStage.ANSWERING, idleDeadline(forwarding, nowNanos));
@@ -92,26 +95,37 @@
 
 	void finished(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		if (!forwarding.relay().finish(commands)) {
-			attemptFailed(forwarding, AttemptFault.BROKEN, "the stream ended inside an event", nowNanos, commands);
+			connectionFailed(forwarding, AttemptFault.BROKEN, "the stream ended inside an event", nowNanos, commands);
 			return;
 		}
 		forwarding.plan().primary().succeeded();
-		if (this.state.suspects().recordSuccess(forwarding.request().fingerprint())) {
-			commands.add(AttemptLog.decision("crashes-cleared", forwarding, "an attempt succeeded", nowNanos));
-		}
+		this.evidence.answerFinished(forwarding, nowNanos);
 		commands.add(AttemptLog.decision("answered", forwarding, "whole", nowNanos));
 		end(forwarding, nowNanos, commands);
 	}
 
-	void attemptFailed(Forwarding forwarding, AttemptFault fault, String detail, long nowNanos,
+	/**
+	 * Handles the failure of the connection to the instance, which may have crashed.
+	 * @param forwarding the request
+	 * @param fault how the connection failed
+	 * @param detail what happened, for the log
+	 * @param nowNanos the time on the monotonic clock
+	 * @param commands receives the resulting commands
+	 */
+	void connectionFailed(Forwarding forwarding, AttemptFault fault, String detail, long nowNanos,
 			List<ForwardCommand> commands) {
-		forwarding.plan().primary().failed(nowNanos);
-		forwarding.exclude(forwarding.plan().primary().instance().id());
 		if (fault == AttemptFault.BROKEN) {
-			int knownCrashes = this.state.suspects().count(forwarding.request().fingerprint());
+			int knownCrashes = this.state.suspects().count(forwarding.request().crashKeys());
 			commands.add(AttemptLog.failed(forwarding, fault, knownCrashes, detail, nowNanos));
-			this.state.suspects().recordFailure(forwarding.request().fingerprint(), nowNanos);
+			this.evidence.attemptBroke(forwarding, nowNanos);
 		}
+		attemptFailed(forwarding, fault, detail, nowNanos, commands);
+	}
+
+	private void attemptFailed(Forwarding forwarding, AttemptFault fault, String detail, long nowNanos,
+			List<ForwardCommand> commands) {
+		forwarding.plan().primary().failed(nowNanos);
+		forwarding.exclude(forwarding.plan().primary().instance().id());
 		if (fault == AttemptFault.NOT_SENT) {
 			forwarding.didNotRun();
 		}
@@ -172,7 +186,7 @@
 		abort(forwarding, commands);
 		Problem problem = (forwarding.runs() > 0)
 				? Problem.failed(ProblemKind.DEADLINE_EXCEEDED, "The deadline passed before the answer was complete.")
-				: notRunProblem("The deadline passed before an instance ran the request.");
+				: AttemptProblems.notRun("The deadline passed before an instance ran the request.");
 		fail(forwarding, problem, nowNanos, commands);
 	}
 
@@ -191,7 +205,22 @@
 	 * @param commands receives the resulting commands
 	 */
 	void refused(Forwarding forwarding, String detail, long nowNanos, List<ForwardCommand> commands) {
-		fail(forwarding, (forwarding.runs() > 0) ? ranProblem(forwarding, detail) : notRunProblem(detail), nowNanos,
+		fail(forwarding,
+				(forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail) : AttemptProblems.notRun(detail),
+				nowNanos, commands);
+	}
+
+	/**
+	 * Ends a request that is blocked because instances crash with it.
+	 * @param forwarding the request
+	 * @param problem the problem if no instance has run it
+	 * @param detail why it is blocked
+	 * @param nowNanos the time on the monotonic clock
+	 * @param commands receives the resulting commands
+	 */
+	void blocked(Forwarding forwarding, Problem problem, String detail, long nowNanos, List<ForwardCommand> commands) {
+		abort(forwarding, commands);
+		fail(forwarding, (forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail) : problem, nowNanos,
 				commands);
 	}
 
@@ -216,7 +245,7 @@
 		return safe && continuable && forwarding.runs() < Math.max(1, forwarding.route().maxAttempts())
 				&& forwarding.attempts() < MAX_ATTEMPTS && forwarding.remainingMillis(nowNanos) > MIN_RETRY_MILLIS
 				&& (!wasSent || this.state.budget().allows(forwarding.service().name(), forwarding.worth(), nowNanos))
-				&& !this.state.suspects().isBlocked(forwarding.request().fingerprint());
+				&& this.state.suspects().findBlocked(forwarding.request().crashKeys(), nowNanos).isEmpty();
 	}
 
 	private void retryOrFail(Forwarding forwarding, String detail, boolean wasSent, long nowNanos,
@@ -231,8 +260,8 @@
 			return;
 		}
 		fail(forwarding,
-				(forwarding.runs() > 0) ? ranProblem(forwarding, detail + ".")
-						: notRunProblem("No instance ran the request; last attempt: " + detail + "."),
+				(forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail + ".")
+						: AttemptProblems.notRun("No instance ran the request; last attempt: " + detail + "."),
 				nowNanos, commands);
 	}
 
@@ -263,14 +292,4 @@
 			.toNanos(Math.max(MIN_IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_FACTOR * forwarding.route().targetGapMillis()));
 	}
 
-	private static Problem ranProblem(Forwarding forwarding, String detail) {
-		return forwarding.route().repeatable()
-				? Problem.failed(ProblemKind.UPSTREAM_FAILED, "The instance failed: " + detail)
-				: Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "The instance may have run the request: " + detail);
-	}
-
-	private static Problem notRunProblem(String detail) {
-		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS);
-	}
-
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -20,9 +20,6 @@
 
 	private static final long RETRY_AFTER_MILLIS = 300;
 
-	/** The retry delay for a request that crashes instances. */
-	private static final long CRASH_RETRY_AFTER_MILLIS = 5_000;
-
 	private final ForwardState state;
 
 	ForwardAdmission(ForwardState state) {
@@ -51,9 +48,9 @@
 			.orElseThrow(() -> new ProblemException(
 					Problem.notRun(ProblemKind.UNKNOWN_PATH, "No route of the host serves this path.")));
 		String workspace = workspace(configuration, route, request);
-		if (this.state.suspects().isBlocked(request.fingerprint())) {
-			throw new ProblemException(Problem.notRun(ProblemKind.OVERLOADED,
-					"The request made several upstream instances fail.", CRASH_RETRY_AFTER_MILLIS));
+		Optional<Long> blocked = this.state.suspects().findBlocked(request.crashKeys(), nowNanos);
+		if (blocked.isPresent()) {
+			throw new ProblemException(CrashRules.problem(blocked.get()));
 		}
 		return new Forwarding(request, route, service(configuration, route), workspace, nowNanos);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -33,6 +33,8 @@
 
 	private final AttemptRules attempts;
 
+	private final CrashRules crashes;
+
 	private boolean draining;
 
 	/**
@@ -46,6 +48,7 @@
 		this.admission = new ForwardAdmission(this.state);
 		this.dispatcher = new Dispatcher(this.state);
 		this.attempts = new AttemptRules(this.state, this.dispatcher);
+		this.crashes = new CrashRules(this.state, this.attempts);
 		registerRequests();
 		registerFleet();
 		this.events.covering(ForwardEvent.class);
@@ -59,6 +62,7 @@
 	 */
 	public List<ForwardCommand> decide(ForwardEvent event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
+		this.crashes.applyChanges(nowNanos, commands);
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
 		}
@@ -91,7 +95,7 @@
 							(forwarding, commands) -> this.attempts.finished(forwarding, now, commands)))
 			.on(AttemptFailed.class,
 					(event, now) -> current(event.attempt(),
-							(forwarding, commands) -> this.attempts.attemptFailed(forwarding, event.fault(),
+							(forwarding, commands) -> this.attempts.connectionFailed(forwarding, event.fault(),
 									event.detail(), now, commands)))
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
@@ -111,12 +115,12 @@
 					(event, now) -> changed(() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
 			.on(PeerHeartbeatReceived.class, (event, now) -> changed(() -> {
 				fleet.replace(event.host(), event.load(), now);
-				this.state.suspects().updatePeer(event.host(), event.crashes());
-			}))
-			.on(PeerUnresponsive.class, (event, now) -> changed(() -> {
-				fleet.replace(event.host(), List.of(), now);
-				this.state.suspects().removePeer(event.host());
+				this.state.suspects().receive(event.crashes(), now);
 			}))
+			.on(PeerCrashesReceived.class,
+					(event, now) -> changed(() -> this.state.suspects().receive(event.reports(), now)))
+			.on(StoredSuspectsChanged.class, (event, now) -> changed(() -> storedSuspectsChanged(event, now)))
+			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.replace(event.host(), List.of(), now)))
 			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
 				fleet.daemons(event.daemons());
 				this.state.budget().daemons(event.daemons());
@@ -184,6 +188,7 @@
 		}
 		this.state.fleet().expire(nowNanos);
 		this.state.tickets().tick(nowNanos, commands);
+		this.crashes.publish(nowNanos, commands);
 		return commands;
 	}
 
@@ -212,6 +217,12 @@
 		return List.of();
 	}
 
+	private void storedSuspectsChanged(StoredSuspectsChanged event, long nowNanos) {
+		this.state.storedSuspects().removeAll(event.deleted());
+		this.state.storedSuspects().addAll(event.stored());
+		this.state.suspects().restore(event.stored(), nowNanos);
+	}
+
 	private static List<ForwardCommand> changed(Runnable change) {
 		change.run();
 		return List.of();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -1,13 +1,16 @@
 package org.rattanhead.decision.forward;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.rattanhead.core.request.AttemptId;
 import org.rattanhead.core.request.RequestId;
+import org.rattanhead.decision.crash.CrashSuspects;
 
 /**
  * The state of a {@link ForwardDecider}, owned by one duty.
@@ -24,6 +27,8 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
+	private final Set<Long> storedSuspects = new HashSet<>();
+
 	private final TicketRegistry tickets;
 
 	private final Map<RequestId, Forwarding> requests = new LinkedHashMap<>();
@@ -59,6 +64,14 @@
 		return this.suspects;
 	}
 
+	/**
+	 * Returns the suspects that have a record in the store.
+	 * @return the suspects, to be changed by the owner of the state
+	 */
+	Set<Long> storedSuspects() {
+		return this.storedSuspects;
+	}
+
 	TicketRegistry tickets() {
 		return this.tickets;
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -2,9 +2,11 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.rattanhead.core.Millis;
+import org.rattanhead.core.forward.AnswerHead;
 import org.rattanhead.core.forward.ForwardRequest;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Route;
@@ -16,6 +18,9 @@
  */
 final class Forwarding {
 
+	/** An instance that fails within this time failed as it began the answer. */
+	private static final long BEGIN_NANOS = Millis.toNanos(250);
+
 	private final ForwardRequest request;
 
 	private final Route route;
@@ -32,6 +37,8 @@
 
 	private final Set<String> excluded = new HashSet<>();
 
+	private AnswerHead answerHead;
+
 	private AttemptId attempt;
 
 	private PlacementPlan plan;
@@ -44,7 +51,9 @@
 
 	private long sentNanos;
 
-	private boolean dataReceived;
+	private OptionalLong answerBeganNanos = OptionalLong.empty();
+
+	private boolean answerGoesOn;
 
 	private long firstDataMillis = -1;
 
@@ -114,7 +123,8 @@
 
 	void markSent(long nowNanos) {
 		this.sentNanos = nowNanos;
-		this.dataReceived = false;
+		this.answerBeganNanos = OptionalLong.empty();
+		this.answerGoesOn = false;
 	}
 
 	/**
@@ -122,21 +132,44 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	void markDataReceived(long nowNanos) {
-		if (!this.dataReceived && this.plan.helpers().isEmpty() && !deferred()) {
+		if (this.answerBeganNanos.isEmpty() && this.plan.helpers().isEmpty() && !deferred()) {
 			this.plan.primary()
 				.responseTimes()
 				.firstData(Millis.ofNanos(nowNanos - this.sentNanos), this.plan.firstTokenMillis(), nowNanos);
 		}
-		this.dataReceived = true;
+		this.answerBeganNanos = OptionalLong.of(this.answerBeganNanos.orElse(nowNanos));
 		this.firstDataMillis = (this.firstDataMillis < 0) ? elapsedMillis(nowNanos) : this.firstDataMillis;
 	}
 
 	/**
-	 * Returns whether data of the current attempt arrived.
-	 * @return true if some did
+	 * Returns when the first data of the current attempt arrived.
+	 * @return the time on the monotonic clock, empty if none has arrived
+	 */
+	OptionalLong answerBeganNanos() {
+		return this.answerBeganNanos;
+	}
+
+	/**
+	 * Returns whether the instance went on with the answer of the current attempt, so
+	 * that beginning it did no harm.
+	 * @return true if it did
 	 */
-	boolean dataReceived() {
-		return this.dataReceived;
+	boolean answerGoesOn() {
+		return this.answerGoesOn;
+	}
+
+	/**
+	 * Notes that the answer of the current attempt goes on, if it does.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true when this is first found for the attempt
+	 */
+	boolean findAnswerGoingOn(long nowNanos) {
+		if (this.answerGoesOn || this.answerBeganNanos.isEmpty()
+				|| nowNanos - this.answerBeganNanos.getAsLong() < BEGIN_NANOS) {
+			return false;
+		}
+		this.answerGoesOn = true;
+		return true;
 	}
 
 	/**
@@ -189,6 +222,18 @@
 		return PlacementQuery.worth(this.request.tokens().map((tokens) -> tokens.promptTokens()).orElse(0L));
 	}
 
+	/**
+	 * Returns the head of the answer to the current attempt.
+	 * @return the head, null if none has arrived
+	 */
+	AnswerHead answerHead() {
+		return this.answerHead;
+	}
+
+	void answerHead(AnswerHead head) {
+		this.answerHead = head;
+	}
+
 	ReplyRelay relay() {
 		return this.relay;
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -71,6 +71,14 @@
 		update(instance, nowNanos);
 	}
 
+	/**
+	 * Identifies the incarnation of the instance, for reports to other daemons.
+	 * @return a hash of its id and its incarnation
+	 */
+	long incarnationKey() {
+		return ((long) this.instance.id().hashCode() << Integer.SIZE) ^ this.instance.incarnation();
+	}
+
 	UpstreamInstance instance() {
 		return this.instance;
 	}
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/crash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the search for what crashes instances.
+ */
+package org.rattanhead.decision.crash;
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CrashingFleet.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CrashingFleet.java
@@ -1,16 +1,16 @@
 package org.rattanhead.decision.forward;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.Payload;
@@ -46,33 +46,34 @@
 
 	private static final long CONNECTION_REFUSED_MILLIS = 2;
 
+	private static final long STORE_RETRY_MILLIS = 500;
+
+	/** The time until the daemons have read a new record. */
+	private static final long STORE_READ_MILLIS = 2_000;
+
 	private static final long PROMPT_TOKENS = 1_500;
 
-	private final Map<String, ForwardDecider> daemons = new TreeMap<>();
+	private final VirtualSchedule schedule = new VirtualSchedule();
 
-	private final PriorityQueue<ScheduledStep> steps = new PriorityQueue<>();
+	private final FleetResults results = new FleetResults();
 
-	private final Map<AttemptId, String> engineByAttempt = new HashMap<>();
+	private final Map<String, ForwardDecider> daemons = new TreeMap<>();
 
-	private final Map<RequestId, FleetRequest> requests = new HashMap<>();
+	private final Map<AttemptId, String> engineByAttempt = new HashMap<>();
 
 	private final Map<String, UpstreamInstance> engines = new TreeMap<>();
 
 	private final Set<String> downEngines = new HashSet<>();
 
-	private final List<Long> crashMillis = new ArrayList<>();
-
-	private final List<Long> fatalCallMillis = new ArrayList<>();
-
-	private final Set<RequestId> begunAtFirstAttempt = new HashSet<>();
+	private final Set<Long> storedSuspects = new TreeSet<>();
 
 	private final Random random;
 
 	private final int eventsBeforeCrash;
 
-	private long nowMillis;
+	private BiPredicate<String, String> connected = (sender, receiver) -> true;
 
-	private long stepCount;
+	private boolean storeAvailable = true;
 
 	CrashingFleet(int daemons, int engines, int eventsBeforeCrash, long seed) {
 		this.random = new Random(seed);
@@ -96,6 +97,21 @@
 				new Random(this.random.nextInt())));
 		handle(host, new ConfigurationApplied(ForwardRig.configuration(1)));
 		handle(host, new InstancesChanged(List.copyOf(this.engines.values())));
+		if (this.storeAvailable) {
+			handle(host, new StoredSuspectsChanged(List.copyOf(this.storedSuspects), List.of()));
+		}
+	}
+
+	/**
+	 * Limits which daemons receive datagrams of each other.
+	 * @param newConnected tests a sender and a receiver
+	 */
+	void connect(BiPredicate<String, String> newConnected) {
+		this.connected = newConnected;
+	}
+
+	void setStoreAvailable(boolean available) {
+		this.storeAvailable = available;
 	}
 
 	List<String> hosts() {
@@ -103,7 +119,7 @@
 	}
 
 	long nowMillis() {
-		return this.nowMillis;
+		return this.schedule.nowMillis();
 	}
 
 	/**
@@ -113,8 +129,8 @@
 	 */
 	RequestId submit(List<Long> sharedParts) {
 		String host = hosts().get(this.random.nextInt(this.daemons.size()));
-		RequestId id = new RequestId(host + "-" + this.requests.size());
-		this.requests.put(id, new FleetRequest(this.nowMillis, host, sharedParts.contains(FATAL_PART)));
+		RequestId id = new RequestId(host + "-" + this.results.submittedCount());
+		this.results.submitted(id, new FleetRequest(nowMillis(), host, sharedParts.contains(FATAL_PART)));
 		handle(host,
 				new ForwardSubmitted(new ForwardRequest(id, id.value(), "POST", "host", "/ask/x", "/ask/x", List.of(),
 						Payload.of("body"), OptionalLong.of(8_000), Optional.of(ForwardRig.KEY),
@@ -128,59 +144,23 @@
 	 * @param millis the time, in milliseconds
 	 */
 	void advance(long millis) {
-		long endMillis = this.nowMillis + millis;
-		while (this.nowMillis < endMillis) {
-			this.nowMillis += STEP_MILLIS;
-			while (!this.steps.isEmpty() && this.steps.peek().atMillis() <= this.nowMillis) {
-				this.steps.poll().action().run();
-			}
+		long endMillis = nowMillis() + millis;
+		while (nowMillis() < endMillis) {
+			this.schedule.advance(STEP_MILLIS);
 			hosts().forEach((host) -> handle(host, new ForwardTick()));
-			if (this.nowMillis % HEARTBEAT_MILLIS < STEP_MILLIS) {
+			if (nowMillis() % HEARTBEAT_MILLIS < STEP_MILLIS) {
 				hosts().forEach((host) -> handle(host, new HeartbeatDue()));
 			}
 		}
 	}
 
-	/**
-	 * Returns when an engine crashed for the given time.
-	 * @param number the number of the crash, from 1
-	 * @return the time in milliseconds, empty if there were fewer
-	 */
-	OptionalLong crashMillis(int number) {
-		return (this.crashMillis.size() < number) ? OptionalLong.empty()
-				: OptionalLong.of(this.crashMillis.get(number - 1));
-	}
-
-	/**
-	 * Counts the prompts with the fatal part that reached an engine.
-	 * @param afterMillis the time after which they count, in milliseconds
-	 * @return the number
-	 */
-	long fatalCalls(long afterMillis) {
-		return this.fatalCallMillis.stream().filter((at) -> at > afterMillis).count();
-	}
-
-	/**
-	 * Returns how many of the prompts without the fatal part an engine began to answer at
-	 * the first attempt.
-	 * @param fromMillis the start of the time in which they arrived, in milliseconds
-	 * @param toMillis the end of that time, in milliseconds
-	 * @return the share, 1 if there were none
-	 */
-	double begunShare(long fromMillis, long toMillis) {
-		List<RequestId> sound = this.requests.entrySet()
-			.stream()
-			.filter((entry) -> !entry.getValue().fatal() && entry.getValue().atMillis() >= fromMillis
-					&& entry.getValue().atMillis() < toMillis)
-			.map(Map.Entry::getKey)
-			.toList();
-		return sound.isEmpty() ? 1
-				: sound.stream().filter(this.begunAtFirstAttempt::contains).count() / (double) sound.size();
+	FleetResults results() {
+		return this.results;
 	}
 
 	private void handle(String host, ForwardEvent event) {
 		ForwardDecider daemon = this.daemons.get(host);
-		daemon.decide(event, Millis.toNanos(this.nowMillis)).forEach((command) -> execute(host, daemon, command));
+		daemon.decide(event, Millis.toNanos(nowMillis())).forEach((command) -> execute(host, daemon, command));
 	}
 
 	private void execute(String host, ForwardDecider daemon, ForwardCommand command) {
@@ -193,6 +173,12 @@
 		else if (command instanceof PublishHeartbeat heartbeat) {
 			sendToOthers(host, new PeerHeartbeatReceived(host, heartbeat.load(), heartbeat.crashes()));
 		}
+		else if (command instanceof StoreSuspect suspect) {
+			store(suspect.suspect());
+		}
+		else if (command instanceof PublishCrashes crashes) {
+			sendToOthers(host, new PeerCrashesReceived(crashes.reports()));
+		}
 		else if (command instanceof PublishLoadStarted started) {
 			sendToOthers(host, new PeerLoadStarted(host, started.entries()));
 		}
@@ -202,39 +188,49 @@
 	}
 
 	private void sendToOthers(String sender, ForwardEvent event) {
-		schedule(1,
-				() -> hosts().stream().filter((host) -> !host.equals(sender)).forEach((host) -> handle(host, event)));
+		this.schedule.after(1,
+				() -> hosts().stream()
+					.filter((host) -> !host.equals(sender) && this.connected.test(sender, host))
+					.forEach((host) -> handle(host, event)));
+	}
+
+	private void store(long suspect) {
+		if (!this.storeAvailable) {
+			this.schedule.after(STORE_RETRY_MILLIS, () -> store(suspect));
+			return;
+		}
+		this.storedSuspects.add(suspect);
+		this.schedule.after(STORE_READ_MILLIS, () -> {
+			if (this.storeAvailable) {
+				hosts().forEach((host) -> handle(host, new StoredSuspectsChanged(List.of(suspect), List.of())));
+			}
+		});
 	}
 
 	private void call(String host, ForwardDecider daemon, AttemptId attempt, String engine) {
-		FleetRequest request = this.requests.get(attempt.request());
 		if (this.downEngines.contains(engine)) {
-			schedule(CONNECTION_REFUSED_MILLIS,
+			this.schedule.after(CONNECTION_REFUSED_MILLIS,
 					() -> deliver(host, daemon, new AttemptFailed(attempt, AttemptFault.NOT_SENT, "refused")));
 			return;
 		}
 		this.engineByAttempt.put(attempt, engine);
-		if (request.fatal()) {
-			this.fatalCallMillis.add(this.nowMillis);
-		}
-		schedule(FIRST_EVENT_MILLIS, () -> begin(host, daemon, attempt, 0));
+		this.results.called(attempt, nowMillis());
+		this.schedule.after(FIRST_EVENT_MILLIS, () -> begin(host, daemon, attempt, 0));
 	}
 
 	private void begin(String host, ForwardDecider daemon, AttemptId attempt, int event) {
 		if (!this.engineByAttempt.containsKey(attempt)) {
 			return;
 		}
-		FleetRequest request = this.requests.get(attempt.request());
+		FleetRequest request = this.results.find(attempt);
 		if (request.fatal() && event >= this.eventsBeforeCrash) {
 			crash(this.engineByAttempt.get(attempt));
 			return;
 		}
 		if (event == 0) {
-			if (attempt.number() == 1) {
-				this.begunAtFirstAttempt.add(attempt.request());
-			}
+			this.results.begun(attempt);
 			deliver(host, daemon,
-					new AttemptAnswered(attempt, new AnswerHead(200, List.of(), AnswerVerdict.RUN, true, "")));
+					new AttemptAnswered(attempt, new AnswerHead(200, List.of(), AnswerVerdict.RUN, true, true, "")));
 		}
 		if (event == EVENTS) {
 			this.engineByAttempt.remove(attempt);
@@ -242,11 +238,11 @@
 			return;
 		}
 		deliver(host, daemon, new AttemptContinued(attempt, Payload.of("id: " + event + "\ndata: a\n\n")));
-		schedule(EVENT_GAP_MILLIS, () -> begin(host, daemon, attempt, event + 1));
+		this.schedule.after(EVENT_GAP_MILLIS, () -> begin(host, daemon, attempt, event + 1));
 	}
 
 	private void crash(String engine) {
-		this.crashMillis.add(this.nowMillis);
+		this.results.crashed(nowMillis());
 		this.downEngines.add(engine);
 		List<AttemptId> broken = this.engineByAttempt.entrySet()
 			.stream()
@@ -255,15 +251,15 @@
 			.toList();
 		broken.forEach(this.engineByAttempt::remove);
 		for (AttemptId attempt : broken) {
-			String host = this.requests.get(attempt.request()).host();
+			String host = this.results.find(attempt).host();
 			deliver(host, this.daemons.get(host), new AttemptFailed(attempt, AttemptFault.BROKEN, "crash"));
 		}
-		schedule(DOWN_MILLIS, () -> restart(engine));
+		this.schedule.after(DOWN_MILLIS, () -> restart(engine));
 	}
 
 	private void restart(String engine) {
 		UpstreamInstance before = this.engines.remove(engine);
-		String id = "e" + this.engines.size() + "-" + this.nowMillis;
+		String id = "e" + this.engines.size() + "-" + nowMillis();
 		this.downEngines.remove(engine);
 		this.engines.put(id, new UpstreamInstance(id, before.service(), before.address(), before.failureDomain(),
 				before.slots(), false, 0, before.incarnation() + 1));
@@ -276,9 +272,4 @@
 		}
 	}
 
-	private void schedule(long delayMillis, Runnable action) {
-		this.stepCount++;
-		this.steps.add(new ScheduledStep(this.nowMillis + delayMillis, this.stepCount, action));
-	}
-
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardPartsTests.java
@@ -15,7 +15,6 @@
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.Configuration;
-import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Route;
 import org.rattanhead.core.forward.RouteKind;
@@ -68,18 +67,6 @@
 		assertThat(budget.allows("s", 24, 0)).isTrue();
 	}
 
-	@ParameterizedTest(name = "own {0}, peers {1} and {2}: {3}")
-	@CsvSource({ "2, 0, 0, false", "3, 0, 0, true", "1, 1, 1, true", "0, 2, 0, false", "0, 2, 1, true" })
-	void countsCrashesOfAllDaemons(int own, int first, int second, boolean blocked) {
-		CrashSuspects suspects = new CrashSuspects();
-		for (int failure = 0; failure < own; failure++) {
-			suspects.recordFailure(7, 0);
-		}
-		suspects.updatePeer("p1", List.of(new CrashReport(7, first), new CrashReport(8, 9)));
-		suspects.updatePeer("p2", List.of(new CrashReport(7, second)));
-		assertThat(suspects.isBlocked(7)).isEqualTo(blocked);
-	}
-
 	static Stream<Arguments> streams() {
 		return Stream.of(Arguments.of(List.of("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n", "1", false),
 				Arguments.of(List.of("id: 1\nda", "ta: a\n", "\n"), "id: 1\ndata: a\n\n", "1", false),
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -165,7 +165,7 @@
 
 	void answer(AttemptId attempt, int status, AnswerVerdict verdict, boolean streamed) {
 		handle(new AttemptAnswered(attempt,
-				new AnswerHead(status, List.of(new HttpField("Kept", "yes")), verdict, streamed, "")));
+				new AnswerHead(status, List.of(new HttpField("Kept", "yes")), verdict, streamed, true, "")));
 	}
 
 	void bytes(AttemptId attempt, String text) {
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -16,7 +16,7 @@
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshBeat;
-import org.rattanhead.messages.MeshCrash;
+import org.rattanhead.messages.MeshCrashes;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshLoad;
 import org.rattanhead.messages.MeshLoadEnded;
@@ -52,9 +52,7 @@
 			.setServing(heartbeat.serving())
 			.setConfigurationVersion(heartbeat.configurationVersion());
 		heartbeat.load().forEach((entry) -> builder.addLoad(encode(entry)));
-		heartbeat.crashes()
-			.forEach((crash) -> builder
-				.addCrashes(MeshCrash.newBuilder().setFingerprint(crash.fingerprint()).setCount(crash.count())));
+		heartbeat.crashes().forEach((report) -> builder.addCrashes(CrashReportCodec.encode(report)));
 		heartbeat.servingMembers().forEach((member) -> builder.addNamed(encode(member)));
 		return MeshDatagram.newBuilder().setHost(host).setBeat(builder).build();
 	}
@@ -84,6 +82,18 @@
 			.build();
 	}
 
+	/**
+	 * Encodes the crashes and answers of suspects.
+	 * @param host the host of the sender
+	 * @param reports the reports
+	 * @return the datagram
+	 */
+	public static MeshDatagram encodeCrashes(String host, List<CrashReport> reports) {
+		MeshCrashes.Builder builder = MeshCrashes.newBuilder();
+		reports.forEach((report) -> builder.addCrashes(CrashReportCodec.encode(report)));
+		return MeshDatagram.newBuilder().setHost(host).setCrashes(builder).build();
+	}
+
 	/**
 	 * Encodes an update of a stream.
 	 * @param host the host of the sender
@@ -120,6 +130,7 @@
 					datagram.getLoadStarted().getLoadList().stream().map(MeshCodec::decode).toList());
 			case LOAD_ENDED ->
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
+			case CRASHES -> listener.onCrashes(CrashReportCodec.decode(datagram.getCrashes().getCrashesList()));
 			case STREAM_NEWS -> deliver(datagram.getHost(), datagram.getStreamNews(), listener);
 			default -> {
 				// Body of a later version.
@@ -132,10 +143,7 @@
 				message.getMeshAddress(), message.getProcessorMillicores());
 		return new MemberHeartbeat(member, message.getReady(), message.getServing(), message.getConfigurationVersion(),
 				message.getLoadList().stream().map(MeshCodec::decode).toList(),
-				message.getCrashesList()
-					.stream()
-					.map((crash) -> new CrashReport(crash.getFingerprint(), crash.getCount()))
-					.toList(),
+				CrashReportCodec.decode(message.getCrashesList()),
 				message.getNamedList().stream().map(MeshCodec::decode).toList());
 	}
 
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.keyed.StreamUpdate;
@@ -32,6 +33,12 @@
 	 */
 	void onLoadEnded(String host, List<String> keys);
 
+	/**
+	 * Another daemon sent the crashes and answers of suspects.
+	 * @param reports the reports
+	 */
+	void onCrashes(List<CrashReport> reports);
+
 	/**
 	 * Another daemon read a stream of the platform to its end.
 	 * @param host the host name of the sending daemon
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -22,6 +22,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
+import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
@@ -104,6 +105,15 @@
 		send(receivers, MeshCodec.encodeLoadEnded(this.self, keys));
 	}
 
+	/**
+	 * Sends the crashes and answers of suspects.
+	 * @param receivers the daemons to send them to
+	 * @param reports the reports
+	 */
+	public void sendCrashes(List<Member> receivers, List<CrashReport> reports) {
+		send(receivers, MeshCodec.encodeCrashes(this.self, reports));
+	}
+
 	/**
 	 * Sends the records that were read from a stream of the platform.
 	 * @param receivers the daemons to send it to
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -22,6 +23,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
+import org.rattanhead.core.forward.ReportedCrash;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
@@ -54,6 +56,11 @@
 			MeshNetworkTests.this.received.add(keys);
 		}
 
+		@Override
+		public void onCrashes(List<CrashReport> reports) {
+			MeshNetworkTests.this.received.add(reports);
+		}
+
 		@Override
 		public void onStreamUpdate(String host, StreamUpdate update) {
 			MeshNetworkTests.this.received.add(update);
@@ -65,14 +72,25 @@
 	void deliversHeartbeatOfAnySize(int entries) throws Exception {
 		InetSocketAddress address = freeAddress();
 		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
-		MemberHeartbeat heartbeat = new MemberHeartbeat(member, true, true, 7, load(entries),
-				List.of(new CrashReport(-9, 2)), List.of(member));
+		MemberHeartbeat heartbeat = new MemberHeartbeat(member, true, true, 7, load(entries), crashes(entries),
+				List.of(member));
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendHeartbeat(List.of(member), heartbeat);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(heartbeat);
 		}
 	}
 
+	@ParameterizedTest(name = "{0} reports")
+	@ValueSource(ints = { 0, 1, 32 })
+	void deliversCrashes(int reports) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.sendCrashes(List.of(member), crashes(reports));
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(crashes(reports));
+		}
+	}
+
 	@ParameterizedTest(name = "update of {0}, {1} records of {2} bytes")
 	@CsvSource({ "OPERATORS, 0, 0", "OPERATORS, 1, 0", "INSTANCES, 2, 1", "MEMBERS, 9, 1", "OPERATORS, 1, 30000" })
 	void deliversStreamUpdate(KeyedStream stream, int count, int bytes) throws Exception {
@@ -126,6 +144,13 @@
 		}
 	}
 
+	private static List<CrashReport> crashes(int reports) {
+		return IntStream.range(0, reports)
+			.mapToObj((index) -> new CrashReport(-index, List.of(new ReportedCrash(-9, index), new ReportedCrash(8, 0)),
+					(index % 2 == 0) ? OptionalLong.empty() : OptionalLong.of(index / 3), 60_000L * index))
+			.toList();
+	}
+
 	private static List<LoadEntry> load(int entries) {
 		return IntStream.range(0, entries)
 			.mapToObj((index) -> new LoadEntry("front-thies-a-1-mo5liv5x-" + index + ".1", "i-0123456789", 6_000, 34,
