Ignore odd entries of instances, and follow on after one

Reported by other operators: one odd entry ended the processes that read the list, or their following of it. An exception in the listener of a stream left the follower without a next read, so it stopped for good.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -148,7 +148,8 @@
 			return;
 		}
 		this.readingNewest = false;
-		this.listener.onNewest(List.copyOf(this.collected));
+		List<KeyedRecord> newest = List.copyOf(this.collected);
+		notifyListener(() -> this.listener.onNewest(newest));
 		this.collected.clear();
 		this.schedule.readCompleted(nowNanos);
 		scheduleRead(nowNanos);
@@ -159,9 +160,11 @@
 		// applying them twice leads to the same state.
 		if (page.nextOffset() >= this.nextOffset) {
 			this.nextOffset = page.nextOffset();
-			List<KeyedRecord> relevant = this.listener.selectRelevant(page.records());
-			this.listener.onChanges(page.records());
-			this.updateSender.accept(createUpdate(fromOffset, page, relevant));
+			notifyListener(() -> {
+				List<KeyedRecord> relevant = this.listener.selectRelevant(page.records());
+				this.listener.onChanges(page.records());
+				this.updateSender.accept(createUpdate(fromOffset, page, relevant));
+			});
 		}
 		this.schedule.readCompleted(nowNanos);
 		scheduleRead(nowNanos);
@@ -187,8 +190,9 @@
 			this.schedule.makeDue(nowNanos);
 			return readIfDue(nowNanos);
 		}
-		this.listener.onChanges((update.nextOffset() > this.nextOffset) ? update.records() : List.of());
+		List<KeyedRecord> records = (update.nextOffset() > this.nextOffset) ? update.records() : List.of();
 		this.nextOffset = update.nextOffset();
+		notifyListener(() -> this.listener.onChanges(records));
 		return true;
 	}
 
@@ -199,12 +203,27 @@
 			LOGGER.warn("platform: reading stream {} failed; continuing with the last state read: {}",
 					this.plan.stream(), failure.getMessage());
 		}
-		this.listener.onReadFailed();
+		notifyListener(this.listener::onReadFailed);
 		this.schedule.readFailed(nowNanos);
 		scheduleRead(nowNanos);
 		return false;
 	}
 
+	/**
+	 * Notifies the listener. If it fails, following continues, since otherwise one odd
+	 * record would end it.
+	 * @param notification the call of the listener
+	 */
+	private void notifyListener(Runnable notification) {
+		try {
+			notification.run();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("platform: records of stream {} could not be applied and are skipped; report the failure",
+					this.plan.stream(), ex);
+		}
+	}
+
 	private void clearFailure() {
 		if (this.failing) {
 			this.failing = false;
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -35,6 +35,8 @@
 
 	private final List<CompletableFuture<KeyedPage>> responses = new ArrayList<>();
 
+	private volatile String failingCall = "";
+
 	private final KeyedStore store = new KeyedStore() {
 		@Override
 		public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
@@ -62,17 +64,32 @@
 	private final KeyedListener listener = new KeyedListener() {
 		@Override
 		public void onNewest(List<KeyedRecord> records) {
+			failIfWanted("newest");
 			KeyedFollowerTests.this.notifications.add("newest " + records.size());
 		}
 
+		@Override
+		public List<KeyedRecord> selectRelevant(List<KeyedRecord> records) {
+			failIfWanted("relevant");
+			return records;
+		}
+
 		@Override
 		public void onChanges(List<KeyedRecord> records) {
+			failIfWanted("changes");
 			KeyedFollowerTests.this.notifications.add("changes " + records.size());
 		}
 
 		@Override
 		public void onReadFailed() {
 			KeyedFollowerTests.this.notifications.add("read failed");
+			failIfWanted("failed");
+		}
+
+		private void failIfWanted(String call) {
+			if (call.equals(KeyedFollowerTests.this.failingCall)) {
+				throw new IllegalArgumentException("an odd record");
+			}
 		}
 	};
 
@@ -93,6 +110,22 @@
 		});
 	}
 
+	/** Guards against LOST: one odd record ended the following of a stream. */
+	@ParameterizedTest(name = "{0} fails")
+	@ValueSource(strings = { "newest", "relevant", "changes", "failed" })
+	void followsOnAfterTheListenerFailed(String call) throws Exception {
+		this.failingCall = call;
+		page(5, 1, false);
+		this.responses.add(CompletableFuture.failedFuture(new IllegalStateException("no answer")));
+		page(6, 1, false);
+		page(7, 1, false);
+		follow(() -> {
+			for (String offset : List.of("newest ", "from 5", "from 5", "from 6", "from 7")) {
+				assertThat(this.reads.poll(5, TimeUnit.SECONDS)).startsWith(offset);
+			}
+		});
+	}
+
 	@ParameterizedTest(name = "gap {0}")
 	@CsvSource({ "after the newest records, 0", "after changes, 1" })
 	void readsTheNewestRecordsAgainAfterAGap(String when, int changes) throws Exception {
