--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -37,6 +37,8 @@
 
 	private final Set<String> excluded = new HashSet<>();
 
+	private final Set<String> called = new HashSet<>();
+
 	private AnswerHead answerHead;
 
 	private AttemptId attempt;
@@ -180,6 +182,15 @@
 		return this.firstDataMillis;
 	}
 
+	/**
+	 * Records that an instance is called.
+	 * @param instance the id of the instance
+	 * @return whether it was called for this request before
+	 */
+	boolean calledBefore(String instance) {
+		return !this.called.add(instance);
+	}
+
 	void exclude(String instance) {
 		this.excluded.add(instance);
 	}
