--- a/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
@@ -66,6 +66,40 @@
 		}
 	}
 
+	/**
+	 * Guards against GONE: a server that had queued a request of a caller that had left
+	 * was not told, since an orderly close does not end what it may still answer.
+	 */
+	@ParameterizedTest(name = "aborted after {0} ms")
+	@ValueSource(longs = { 0, 100, 300 })
+	void serverThatHasSentNothingSeesAReset(long millis) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+				HttpClient caller = new HttpClient("test", 1)) {
+			CompletableFuture<Boolean> received = new CompletableFuture<>();
+			CompletableFuture<String> end = CompletableFuture.supplyAsync(() -> readToEnd(listener, received));
+			OngoingCall call = caller.start(
+					HttpCall.get(new InetSocketAddress("127.0.0.1", listener.getLocalPort()), "/", 20_000),
+					this.ignoringObserver);
+			received.get(5, TimeUnit.SECONDS);
+			TimeUnit.MILLISECONDS.sleep(millis);
+			call.abort();
+			assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo("reset");
+		}
+	}
+
+	private static String readToEnd(ServerSocket listener, CompletableFuture<Boolean> received) {
+		try (Socket socket = listener.accept()) {
+			InputStream in = socket.getInputStream();
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				received.complete(true);
+			}
+			return "orderly close";
+		}
+		catch (IOException ex) {
+			return "reset";
+		}
+	}
+
 	private static long writeUntilFailure(ServerSocket listener) {
 		try (Socket socket = listener.accept()) {
 			InputStream in = socket.getInputStream();
