--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/CrashReport.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/CrashReport.java
@@ -9,9 +9,10 @@
  *
  * @param suspect the fingerprint of the request, or the id of the part
  * @param crashes the crashes since an instance last answered it
- * @param soundAgeMillis the time since an instance began an answer to it that went on, in
- * milliseconds; empty if none is known
+ * @param answeredAgeMillis the time since an instance began an answer to it that went on,
+ * in milliseconds; empty if none is known
  * @param blockedMillis how much longer it is blocked, in milliseconds; 0 if it is not
  */
-public record CrashReport(long suspect, List<ReportedCrash> crashes, OptionalLong soundAgeMillis, long blockedMillis) {
+public record CrashReport(long suspect, List<ReportedCrash> crashes, OptionalLong answeredAgeMillis,
+		long blockedMillis) {
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/CrashSuspects.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/CrashSuspects.java
@@ -40,9 +40,9 @@
 	 * then those in more crashes, then those that were answered less recently.
 	 */
 	private static final Comparator<Suspect> LIKELIHOOD = Comparator
-		.comparing((Suspect suspect) -> suspect.soundNanos().isPresent())
+		.comparing((Suspect suspect) -> suspect.answeredNanos().isPresent())
 		.thenComparing((suspect) -> -suspect.crashes().count())
-		.thenComparing((suspect) -> suspect.soundNanos().orElse(0));
+		.thenComparing((suspect) -> suspect.answeredNanos().orElse(0));
 
 	private final SuspectTable suspects = new SuspectTable();
 
@@ -93,7 +93,7 @@
 		expire(nowNanos);
 		for (CrashReport report : reports) {
 			Suspect suspect = this.suspects.findOrAdd(report.suspect(), nowNanos);
-			report.soundAgeMillis().ifPresent((ageMillis) -> {
+			report.answeredAgeMillis().ifPresent((ageMillis) -> {
 				long atNanos = nowNanos - Millis.toNanos(ageMillis);
 				this.suspects.answered().add(report.suspect(), atNanos);
 				answered(suspect, atNanos, nowNanos);
@@ -118,8 +118,8 @@
 		expire(nowNanos);
 		for (long key : keys) {
 			Suspect suspect = this.suspects.findOrAdd(key, nowNanos);
-			boolean refuted = suspect.soundNanos().isPresent()
-					&& suspect.soundNanos().getAsLong() > nowNanos - RECENT_ANSWER_NANOS;
+			boolean refuted = suspect.answeredNanos().isPresent()
+					&& suspect.answeredNanos().getAsLong() > nowNanos - RECENT_ANSWER_NANOS;
 			if (!refuted && !suspect.blocked(nowNanos)) {
 				suspect.addCrash(new InstanceCrash(UNKNOWN_INSTANCE, nowNanos), nowNanos);
 				blockUntil(suspect, nowNanos + STORED_BLOCK_NANOS, nowNanos, "stored");
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/Suspect.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/Suspect.java
@@ -29,7 +29,7 @@
 
 	private final CrashLog crashes = new CrashLog(MAX_CRASHES);
 
-	private OptionalLong soundNanos;
+	private OptionalLong answeredNanos;
 
 	private OptionalLong blockedUntilNanos = OptionalLong.empty();
 
@@ -39,9 +39,9 @@
 
 	private long changedNanos;
 
-	Suspect(long key, OptionalLong soundNanos, long nowNanos) {
+	Suspect(long key, OptionalLong answeredNanos, long nowNanos) {
 		this.key = key;
-		this.soundNanos = soundNanos;
+		this.answeredNanos = answeredNanos;
 		this.changedNanos = nowNanos;
 	}
 
@@ -53,8 +53,8 @@
 		return this.crashes;
 	}
 
-	OptionalLong soundNanos() {
-		return this.soundNanos;
+	OptionalLong answeredNanos() {
+		return this.answeredNanos;
 	}
 
 	long changedNanos() {
@@ -102,7 +102,7 @@
 			return false;
 		}
 		int before = this.crashes.count();
-		this.soundNanos = OptionalLong.of(atNanos);
+		this.answeredNanos = OptionalLong.of(atNanos);
 		this.crashes.removeIf((crash) -> crash.atNanos() <= atNanos);
 		this.changedNanos = (this.crashes.count() < before) ? nowNanos : this.changedNanos;
 		if (this.crashes.count() > 0) {
@@ -140,7 +140,7 @@
 		if (this.blocks > 0) {
 			return this.crashes.count() >= REPEATED_BLOCKING_CRASHES;
 		}
-		int counted = this.soundNanos.isPresent() ? this.crashes.countMoments() : this.crashes.count();
+		int counted = this.answeredNanos.isPresent() ? this.crashes.countMoments() : this.crashes.count();
 		return counted >= BLOCKING_CRASHES;
 	}
 
@@ -193,13 +193,13 @@
 			.stream()
 			.map((crash) -> new ReportedCrash(crash.instance(), Millis.ofNanos(nowNanos - crash.atNanos())))
 			.toList();
-		OptionalLong soundAgeMillis = this.soundNanos.isPresent()
-				? OptionalLong.of(Millis.ofNanos(nowNanos - this.soundNanos.getAsLong())) : OptionalLong.empty();
-		return new CrashReport(this.key, reported, soundAgeMillis, blockedMillis(nowNanos));
+		OptionalLong answeredAgeMillis = this.answeredNanos.isPresent()
+				? OptionalLong.of(Millis.ofNanos(nowNanos - this.answeredNanos.getAsLong())) : OptionalLong.empty();
+		return new CrashReport(this.key, reported, answeredAgeMillis, blockedMillis(nowNanos));
 	}
 
 	private boolean answeredSince(long atNanos) {
-		return this.soundNanos.isPresent() && this.soundNanos.getAsLong() >= atNanos;
+		return this.answeredNanos.isPresent() && this.answeredNanos.getAsLong() >= atNanos;
 	}
 
 	private void extendBlock(long untilNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/SuspectTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/crash/SuspectTable.java
@@ -78,7 +78,7 @@
 	}
 
 	private static boolean outdated(Suspect suspect, long nowNanos) {
-		boolean answered = suspect.crashes().count() == 0 && suspect.soundNanos().isPresent();
+		boolean answered = suspect.crashes().count() == 0 && suspect.answeredNanos().isPresent();
 		long retentionNanos = answered ? ANSWERED_RETENTION_NANOS : RETENTION_NANOS;
 		return !suspect.blocked(nowNanos) && suspect.changedNanos() < nowNanos - retentionNanos;
 	}
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/CrashReportCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/CrashReportCodec.java
@@ -20,7 +20,7 @@
 		MeshCrash.Builder builder = MeshCrash.newBuilder()
 			.setFingerprint(report.suspect())
 			.setBlockedMillis(report.blockedMillis());
-		report.soundAgeMillis().ifPresent(builder::setSoundAgeMillis);
+		report.answeredAgeMillis().ifPresent(builder::setAnsweredAgeMillis);
 		report.crashes()
 			.forEach((crash) -> builder.addInstanceCrashes(
 					MeshInstanceCrash.newBuilder().setInstance(crash.instance()).setAgeMillis(crash.ageMillis())));
@@ -37,7 +37,7 @@
 			.map((crash) -> new ReportedCrash(crash.getInstance(), crash.getAgeMillis()))
 			.toList();
 		return new CrashReport(message.getFingerprint(), crashes,
-				message.hasSoundAgeMillis() ? OptionalLong.of(message.getSoundAgeMillis()) : OptionalLong.empty(),
+				message.hasAnsweredAgeMillis() ? OptionalLong.of(message.getAnsweredAgeMillis()) : OptionalLong.empty(),
 				message.getBlockedMillis());
 	}
 
