--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -42,17 +42,42 @@
 
 	private final GatewaySettings settings;
 
+	private GatewaySettings otherSettings;
+
 	GatewayRig(int count, Function<RawRequest, RawAnswer> script) throws Exception {
 		for (int index = 0; index < count; index++) {
 			this.instances.add(new RawServer(script));
 			register(index, "ready");
 		}
 		configure(1, "");
-		this.settings = new GatewaySettings("self", freeAddress(), freeAddress(), freeAddress(), freeAddress(),
-				freeAddress(), this.store.server().address(), 0.75, new ForwardLimits(0.2, 100, 10_000, 20_000), 2_000,
-				2_000, Level.INFO);
-		this.gateway = new Gateway(this.settings);
-		await(() -> fetch(this.settings.readyAddress(), "/rattanhead/readyz").startsWith("HTTP/1.1 200"));
+		this.settings = settings("self");
+		this.gateway = start(this.settings);
+	}
+
+	/**
+	 * Starts a second gateway on the same store.
+	 * @return the gateway, ready
+	 * @throws Exception if it does not start
+	 */
+	Gateway startAnother() throws Exception {
+		this.otherSettings = settings("other");
+		return start(this.otherSettings);
+	}
+
+	RawCaller anotherCaller() throws IOException {
+		return new RawCaller(this.otherSettings.callersAddress());
+	}
+
+	private GatewaySettings settings(String host) throws IOException {
+		return new GatewaySettings(host, freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress(),
+				this.store.server().address(), 0.75, new ForwardLimits(0.2, 100, 10_000, 20_000), 2_000, 2_000,
+				Level.INFO);
+	}
+
+	private static Gateway start(GatewaySettings settings) throws Exception {
+		Gateway started = new Gateway(settings);
+		await(() -> fetch(settings.readyAddress(), "/rattanhead/readyz").startsWith("HTTP/1.1 200"));
+		return started;
 	}
 
 	/**
