Trace why aborted calls told the server nothing

An aborted connection stayed established for the 5 s that AbortTests waits: the HTTP library's close of a client connection (ConnectionUtils.cleanClose) reads until the server closes. The reset of an aborted call avoids this.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ServerConnection.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ServerConnection.java
@@ -46,8 +46,8 @@
 	}
 
 	/**
-	 * Closes the connection with a reset. A server that has not begun its reply notices
-	 * nothing else: after an orderly close, a peer may still read.
+	 * Closes the connection with a reset. The orderly close of the HTTP library reads
+	 * until the server closes, so a server without a reply yet would work on.
 	 */
 	void reset() {
 		runOnThread(() -> {
--- a/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
@@ -67,8 +67,8 @@
 	}
 
 	/**
-	 * Guards against GONE: a server that had queued a request of a caller that had left
-	 * was not told, since an orderly close does not end what it may still answer.
+	 * Guards against GONE: a server worked on for a caller that had left, since the
+	 * connection was closed only after the server had closed it.
 	 */
 	@ParameterizedTest(name = "aborted after {0} ms")
 	@ValueSource(longs = { 0, 100, 300 })
