--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -115,11 +115,11 @@
 			helpers.add(new Helper(helper.load().instance().address(), ticket));
 		}
 		Optional<String> resumeAfter = forwarding.relay().lastEventId().or(forwarding.request()::lastEventId);
+		boolean repeated = forwarding.recordCall(plan.primary().instance().id());
 		// On a kept connection, a late copy of the instance's earlier refusal would bear
 		// the
 		// id of this attempt.
-		boolean freshConnection = forwarding.route().kind() == RouteKind.AT_MOST_ONCE
-				|| forwarding.calledBefore(plan.primary().instance().id());
+		boolean freshConnection = repeated || forwarding.route().kind() == RouteKind.AT_MOST_ONCE;
 		ForwardCall call = new ForwardCall(forwarding.attempt(), forwarding.request(), plan.primary().instance(),
 				forwarding.workspace(), forwarding.remainingMillis(nowNanos), urgency(plan, forwarding.deferred()),
 				helpers, resumeAfter, freshConnection);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -183,11 +183,11 @@
 	}
 
 	/**
-	 * Records that an instance is called.
+	 * Records that an instance is called for this request.
 	 * @param instance the id of the instance
-	 * @return whether it was called for this request before
+	 * @return true if it was called for it before
 	 */
-	boolean calledBefore(String instance) {
+	boolean recordCall(String instance) {
 		return !this.called.add(instance);
 	}
 
