--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -156,7 +156,7 @@
 		if (tryEnd()) {
 			ServerConnection current = this.connection;
 			if (current != null) {
-				current.reset();
+				current.close();
 			}
 			this.observer.onFailure(failure, detail);
 		}
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ServerConnection.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ServerConnection.java
@@ -1,15 +1,11 @@
 package org.rattanhead.client.internal;
 
-import java.io.IOException;
 import java.util.concurrent.RejectedExecutionException;
 
 import io.undertow.client.ClientConnection;
 import io.undertow.client.http.ClientConnections;
 import io.undertow.connector.ByteBufferPool;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.xnio.IoUtils;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
 
 /**
@@ -20,8 +16,6 @@
  */
 public record ServerConnection(ClientConnection client, FramingLimit framing) {
 
-	private static final Logger LOGGER = LogManager.getLogger(ServerConnection.class);
-
 	/**
 	 * Creates a connection on an open channel, on the I/O thread of the channel.
 	 * @param channel the channel
@@ -42,31 +36,11 @@
 	 * Closes the connection on its I/O thread, or here if that thread has stopped.
 	 */
 	void close() {
-		runOnThread(() -> IoUtils.safeClose(this.client));
-	}
-
-	/**
-	 * Closes the connection with a reset. The orderly close of the HTTP library reads
-	 * until the server closes, so a server without a reply yet would work on.
-	 */
-	void reset() {
-		runOnThread(() -> {
-			try {
-				this.client.setOption(Options.CLOSE_ABORT, true);
-			}
-			catch (IOException ex) {
-				LOGGER.debug("client: a connection is closed without a reset: {}", ex.getMessage());
-			}
-			IoUtils.safeClose(this.client);
-		});
-	}
-
-	private void runOnThread(Runnable action) {
 		try {
-			this.client.getIoThread().execute(action);
+			this.client.getIoThread().execute(() -> IoUtils.safeClose(this.client));
 		}
 		catch (RejectedExecutionException ex) {
-			action.run();
+			IoUtils.safeClose(this.client);
 		}
 	}
 
