Review case 1: an answer without end stops the gateway

CONFIG: requests that are unanswered at their route's TimeoutMs must not stay so. One of three model servers sends a body without end in chunks of one byte; the gateway then answers no request on any route, also after the last such answer is closed.

--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -62,6 +62,8 @@
 
 	private InputStream in;
 
+	private int keptBytes = Integer.MAX_VALUE;
+
 	Client(InetSocketAddress address) throws IOException {
 		this.socket.connect(address, 1_000);
 		this.socket.setTcpNoDelay(true);
@@ -104,10 +106,23 @@
 		return answer;
 	}
 
+	/** Receives an answer, keeps at most one MB of its body and reads on to its end. */
+	Answer discard(int timeoutMillis) {
+		this.keptBytes = 1_000_000;
+		return receive(timeoutMillis, (bytes) -> {
+		});
+	}
+
+	private void keep(Answer answer, byte[] bytes, int count) {
+		if (answer.body.size() < this.keptBytes) {
+			answer.body.write(bytes, 0, count);
+		}
+	}
+
 	private void readBody(Answer answer, Consumer<byte[]> onBytes) throws IOException {
 		if (answer.head.field("Transfer-Encoding").equalsIgnoreCase("chunked")) {
 			for (byte[] chunk = Http.readChunk(this.in); chunk.length > 0; chunk = Http.readChunk(this.in)) {
-				answer.body.write(chunk);
+				keep(answer, chunk, chunk.length);
 				onBytes.accept(chunk);
 			}
 			answer.end = End.COMPLETE;
@@ -119,7 +134,7 @@
 		else {
 			byte[] buffer = new byte[8192];
 			for (int count = this.in.read(buffer); count >= 0; count = this.in.read(buffer)) {
-				answer.body.write(buffer, 0, count);
+				keep(answer, buffer, count);
 				onBytes.accept(buffer);
 			}
 			answer.end = End.CLOSED_IN_ORDER;
