--- a/review/standin/Run.java
+++ b/review/standin/Run.java
@@ -72,11 +72,17 @@
 		return server;
 	}
 
+	/** Prepares the settings of gateways. */
+	void addGateways(int count) throws Exception {
+		for (int index = 1; index <= count; index++) {
+			this.gateways.add(new Gateway(this.root, this.folder, "front-" + index, this.store.address()));
+		}
+	}
+
 	/** Starts gateways and waits until they are ready and know each other. */
 	void startGateways(int count) throws Exception {
-		for (int index = 1; index <= count; index++) {
-			Gateway gateway = new Gateway(this.root, this.folder, "front-" + index, this.store.address());
-			this.gateways.add(gateway);
+		addGateways(count);
+		for (Gateway gateway : this.gateways) {
 			gateway.start();
 		}
 		for (Gateway gateway : this.gateways) {
