--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -33,6 +33,9 @@
 
 		Http.Head head;
 
+		/** When the head arrived, 0 if none did. */
+		long headNanos;
+
 		final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 		End end;
@@ -92,6 +95,7 @@
 				answer.detail = "closed without an answer";
 				return answer;
 			}
+			answer.headNanos = System.nanoTime();
 			answer.status = answer.head.status();
 			readBody(answer, onBytes);
 		}
