Bound the bytes and tasks between a server's socket and a caller's

Cause: each byte became an event, a command and a task of the only front-end I/O thread; nothing tied reading to what the caller had taken; no connection had to leave the I/O thread to others. Ruled out: a single bottleneck; three threads were saturated.

It bounds what is queued whatever the server sends.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
@@ -16,12 +16,15 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 import org.rattanhead.client.internal.CollectingObserver;
 import org.rattanhead.client.internal.ConnectionPool;
 import org.rattanhead.client.internal.Exchange;
 import org.rattanhead.client.internal.ServerConnection;
+import org.rattanhead.core.TurnQueue;
+import org.rattanhead.core.TurnQueues;
 
 /**
  * Makes HTTP calls. Connections are reused by later calls; a call that fails closes its
@@ -39,6 +42,9 @@
 
 	private final ConnectionPool pool = new ConnectionPool();
 
+	private final TurnQueues<XnioIoThread> turns = new TurnQueues<>(
+			(thread, round) -> thread.executeAfter(round, TurnQueue.ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+
 	private final Set<Exchange> openExchanges = ConcurrentHashMap.newKeySet();
 
 	private final AtomicBoolean closed = new AtomicBoolean();
@@ -90,7 +96,7 @@
 		exchange.armTimeouts(this.worker.getIoThread(), policy.connectMillis());
 		Optional<ServerConnection> pooled = policy.fresh() ? Optional.empty() : this.pool.acquire(call.address());
 		pooled.ifPresentOrElse(exchange::run, () -> connect(call.address(), exchange));
-		return exchange::abort;
+		return exchange;
 	}
 
 	/**
@@ -124,7 +130,9 @@
 
 	private void connect(InetSocketAddress address, Exchange exchange) {
 		IoFuture<StreamConnection> opening = this.worker.openStreamConnection(address,
-				(channel) -> exchange.run(ServerConnection.create(channel, this.buffers)), OptionMap.EMPTY);
+				(channel) -> exchange
+					.run(ServerConnection.create(channel, this.buffers, this.turns.of(channel.getIoThread()))),
+				OptionMap.EMPTY);
 		opening.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
 			@Override
 			public void handleFailed(IOException ex, Void attachment) {
--- a/rattanhead-client/src/main/java/org/rattanhead/client/OngoingCall.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/OngoingCall.java
@@ -3,7 +3,6 @@
 /**
  * A call in progress.
  */
-@FunctionalInterface
 public interface OngoingCall {
 
 	/**
@@ -12,4 +11,12 @@
 	 */
 	void abort();
 
+	/**
+	 * Allows further bytes of the body to be delivered, beyond
+	 * {@link ReplyObserver#windowBytes()} and earlier grants. Has no effect on a call
+	 * that has ended.
+	 * @param bytes the number of bytes
+	 */
+	void grant(long bytes);
+
 }
--- a/rattanhead-client/src/main/java/org/rattanhead/client/ReplyObserver.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/ReplyObserver.java
@@ -42,4 +42,14 @@
 		return Long.MAX_VALUE;
 	}
 
+	/**
+	 * Returns how much of the body may be delivered before {@link OngoingCall#grant}
+	 * allows more. The connection is not read while the window is used up. The last part
+	 * may exceed the window by the size of one buffer.
+	 * @return the size, in bytes
+	 */
+	default long windowBytes() {
+		return Long.MAX_VALUE;
+	}
+
 }
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.ByteBufferPool;
@@ -11,16 +12,24 @@
 import org.rattanhead.client.CallFailure;
 import org.rattanhead.client.ReplyObserver;
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.TurnQueue;
 
 /**
- * Reads the body of a reply from a channel, on the I/O thread of the channel. If the
- * observer rejects bytes, suspends reads and offers the same bytes again at a fixed
- * interval.
+ * Reads the body of a reply from a channel, on the I/O thread of the channel. Whatever
+ * the size of the server's chunks, the observer receives as much as one buffer holds. A
+ * reply that arrives without pause gives up the thread after a bounded turn. Reads are
+ * suspended while the window of the observer is used up; if the observer rejects bytes,
+ * the same bytes are offered again at a fixed interval.
  */
 final class BodyReader {
 
 	private static final long REDELIVERY_INTERVAL_MILLIS = 2;
 
+	private static final int MAX_TURN_BYTES = 64 * 1024;
+
+	/** Bounds a turn whose reads return few bytes each, as with chunks of one byte. */
+	private static final int MAX_TURN_READS = 256;
+
 	private final StreamSourceChannel channel;
 
 	private final ByteBufferPool buffers;
@@ -29,66 +38,152 @@
 
 	private final Exchange exchange;
 
+	private final TurnQueue turns;
+
 	private long bodyBytes;
 
-	BodyReader(StreamSourceChannel channel, ByteBufferPool buffers, ReplyObserver observer, Exchange exchange) {
+	private long windowBytes;
+
+	private boolean awaitsGrant;
+
+	private int turnReads;
+
+	private boolean endReached;
+
+	private IOException failure;
+
+	BodyReader(StreamSourceChannel channel, ByteBufferPool buffers, ReplyObserver observer, Exchange exchange,
+			TurnQueue turns) {
 		this.channel = channel;
 		this.buffers = buffers;
 		this.observer = observer;
 		this.exchange = exchange;
+		this.turns = turns;
+		this.windowBytes = observer.windowBytes();
 	}
 
 	void read() {
+		if (this.windowBytes <= 0) {
+			this.awaitsGrant = true;
+			this.channel.suspendReads();
+			return;
+		}
 		try (PooledByteBuffer pooled = this.buffers.allocate()) {
-			readInto(pooled.getBuffer());
+			readTurn(pooled.getBuffer());
 		}
 		catch (IOException ex) {
 			this.exchange.fail(CallFailure.BROKEN, "the connection broke during the reply: " + ex.getMessage());
 		}
 	}
 
-	private void readInto(ByteBuffer buffer) throws IOException {
+	/**
+	 * Enlarges the window, and reads on if it was used up.
+	 * @param bytes the number of bytes
+	 */
+	void grant(long bytes) {
+		this.windowBytes += bytes;
+		if (this.awaitsGrant && this.windowBytes > 0) {
+			this.awaitsGrant = false;
+			read();
+		}
+	}
+
+	private void readTurn(ByteBuffer buffer) throws IOException {
+		this.turnReads = 0;
+		int turnBytes = 0;
 		while (!this.exchange.hasEnded()) {
 			buffer.clear();
-			int count = this.channel.read(buffer);
-			if (count < 0) {
-				this.exchange.complete();
+			boolean drained = fill(buffer);
+			if (buffer.flip().hasRemaining() && !deliver(buffer)) {
 				return;
 			}
-			if (count == 0) {
-				this.channel.getReadSetter().set((ready) -> read());
-				this.channel.resumeReads();
+			turnBytes += buffer.limit();
+			if (this.failure != null) {
+				throw this.failure;
+			}
+			if (this.endReached) {
+				this.exchange.complete();
 				return;
 			}
-			this.exchange.bodyReceived();
-			this.bodyBytes += count;
-			if (this.bodyBytes > this.observer.maxBodyBytes()) {
-				this.exchange.fail(CallFailure.BROKEN,
-						"the reply exceeds " + this.observer.maxBodyBytes() + " bytes; check the server");
+			if (drained) {
+				readWhenReady();
 				return;
 			}
-			if (!this.observer.onBytes(copy(buffer.flip()))) {
-				pause(copy(buffer.rewind()));
+			if (this.turnReads >= MAX_TURN_READS || turnBytes >= MAX_TURN_BYTES || this.windowBytes <= 0) {
+				this.channel.suspendReads();
+				this.turns.add(this::read);
 				return;
 			}
 		}
 	}
 
-	private void pause(Payload pending) {
-		this.channel.suspendReads();
-		this.channel.getIoThread()
-			.executeAfter(() -> resume(pending), REDELIVERY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	/**
+	 * Reads until the buffer is full, the channel has no more bytes, or the turn is over.
+	 * The end and a failure are kept until the bytes before them are delivered.
+	 * @return whether the channel has no more bytes for now
+	 */
+	private boolean fill(ByteBuffer buffer) {
+		int count = 1;
+		try {
+			while (count > 0 && buffer.hasRemaining() && this.turnReads < MAX_TURN_READS && !this.endReached
+					&& this.failure == null) {
+				this.turnReads++;
+				count = this.channel.read(buffer);
+				this.endReached = count < 0;
+			}
+		}
+		catch (IOException ex) {
+			this.failure = ex;
+		}
+		return count == 0;
+	}
+
+	/**
+	 * Delivers the bytes of a buffer.
+	 * @return false if the reply is too large, or the bytes are to be delivered later
+	 */
+	private boolean deliver(ByteBuffer buffer) {
+		this.exchange.bodyReceived();
+		this.bodyBytes += buffer.remaining();
+		this.windowBytes -= buffer.remaining();
+		if (this.bodyBytes > this.observer.maxBodyBytes()) {
+			this.exchange.fail(CallFailure.BROKEN,
+					"the reply exceeds " + this.observer.maxBodyBytes() + " bytes; check the server");
+			return false;
+		}
+		Payload part = copy(buffer);
+		if (!this.observer.onBytes(part)) {
+			redeliverLater(part);
+			return false;
+		}
+		return true;
 	}
 
-	private void resume(Payload pending) {
+	private void redeliver(Payload part) {
 		if (this.exchange.hasEnded()) {
 			return;
 		}
-		if (this.observer.onBytes(pending)) {
+		if (this.observer.onBytes(part)) {
 			read();
 		}
 		else {
-			pause(pending);
+			redeliverLater(part);
+		}
+	}
+
+	private void readWhenReady() {
+		this.channel.getReadSetter().set((ready) -> read());
+		this.channel.resumeReads();
+	}
+
+	private void redeliverLater(Payload part) {
+		this.channel.suspendReads();
+		try {
+			this.channel.getIoThread()
+				.executeAfter(() -> redeliver(part), REDELIVERY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			this.exchange.abort();
 		}
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -24,6 +24,7 @@
 import org.rattanhead.client.CallFailure;
 import org.rattanhead.client.HttpCall;
 import org.rattanhead.client.HttpHead;
+import org.rattanhead.client.OngoingCall;
 import org.rattanhead.client.ReplyObserver;
 import org.rattanhead.core.HttpField;
 
@@ -31,7 +32,7 @@
  * One call on one connection. Everything after the connect runs on the I/O thread of the
  * connection.
  */
-public final class Exchange {
+public final class Exchange implements OngoingCall {
 
 	/** Reuse period if the server sends no Keep-Alive timeout, in milliseconds. */
 	private static final long DEFAULT_REUSE_MILLIS = 4_000;
@@ -67,6 +68,8 @@
 
 	private BodyWriter bodyWriter;
 
+	private BodyReader bodyReader;
+
 	private XnioExecutor.Key timeout;
 
 	private XnioExecutor.Key connectTimeout;
@@ -140,13 +143,23 @@
 			}));
 	}
 
-	/**
-	 * Aborts the call and closes its connection, unless the call has ended.
-	 */
+	@Override
 	public void abort() {
 		fail(CallFailure.ABORTED, "aborted");
 	}
 
+	@Override
+	public void grant(long bytes) {
+		ServerConnection current = this.connection;
+		if (current != null && !hasEnded()) {
+			current.execute(() -> {
+				if (this.bodyReader != null) {
+					this.bodyReader.grant(bytes);
+				}
+			});
+		}
+	}
+
 	/**
 	 * Fails the call and closes its connection, unless the call has ended.
 	 * @param failure how it failed
@@ -263,7 +276,9 @@
 			this.reuseMillis = Math.round(KEEP_ALIVE_FRACTION * MILLIS_PER_SECOND * Long.parseLong(keepAlive.group(1)));
 		}
 		this.observer.onHead(head);
-		new BodyReader(exchange.getResponseChannel(), this.buffers, this.observer, this).read();
+		this.bodyReader = new BodyReader(exchange.getResponseChannel(), this.buffers, this.observer, this,
+				this.connection.turns());
+		this.bodyReader.read();
 	}
 
 	private void requestBodyFailed(IOException ex) {
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -10,6 +10,7 @@
 import org.rattanhead.decision.forward.FinishReply;
 import org.rattanhead.decision.forward.ForwardCommand;
 import org.rattanhead.decision.forward.ForwardDrained;
+import org.rattanhead.decision.forward.GrantBytes;
 import org.rattanhead.decision.forward.LogDecision;
 import org.rattanhead.decision.forward.PublishCrashes;
 import org.rattanhead.decision.forward.PublishHeartbeat;
@@ -36,6 +37,7 @@
 			RecordWriter records, Runnable onDrained) {
 		this.handlers.on(CallInstance.class, (command, now) -> done(() -> calls.call(command)))
 			.on(AbortAttempt.class, (command, now) -> done(() -> calls.abort(command)))
+			.on(GrantBytes.class, (command, now) -> done(() -> calls.grant(command)))
 			.on(ReserveTicket.class, (command, now) -> done(() -> calls.reserve(command)))
 			.on(ReleaseTicket.class, (command, now) -> done(() -> calls.release(command)))
 			.on(BeginReply.class, (command, now) -> done(() -> replies.begin(command)))
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -90,6 +90,28 @@
 			commands.add(new AbortAttempt(forwarding.attempt()));
 			attemptFailed(forwarding, AttemptFault.BROKEN, "an event exceeds the bound of its size", nowNanos,
 					commands);
+			return;
+		}
+		grant(forwarding, commands);
+	}
+
+	/**
+	 * Reads on from the instance if the caller has taken enough of the reply.
+	 * @param forwarding the request
+	 * @param bytes the number of bytes that the caller has taken
+	 * @param commands receives the resulting commands
+	 */
+	void written(Forwarding forwarding, long bytes, List<ForwardCommand> commands) {
+		forwarding.relay().flow().written(bytes);
+		if (forwarding.stage() == ForwardStage.ANSWERING) {
+			grant(forwarding, commands);
+		}
+	}
+
+	private static void grant(Forwarding forwarding, List<ForwardCommand> commands) {
+		long bytes = forwarding.relay().flow().takeGrant();
+		if (bytes > 0) {
+			commands.add(new GrantBytes(forwarding.attempt(), bytes));
 		}
 	}
 
@@ -168,6 +190,10 @@
 			}
 			retryOrFail(forwarding, "memory reservation timed out", false, nowNanos, commands);
 		}
+		else if (forwarding.relay().flow().blocked()) {
+			// The instance is silent because its answer is not read.
+			forwarding.stage(forwarding.stage(), idleDeadline(forwarding, nowNanos));
+		}
 		else if (forwarding.service().engine().isPresent() && forwarding.plan().primary().alive(nowNanos)
 				&& forwarding.extend(MAX_TIMEOUT_EXTENSIONS)) {
 			forwarding.stage(forwarding.stage(), nowNanos + Millis.toNanos(TIMEOUT_EXTENSION_MILLIS));
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EventSplitter.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EventSplitter.java
@@ -16,7 +16,11 @@
 	/** An event that exceeds this is taken for bytes without end. */
 	private static final int MAX_EVENT_BYTES = 256 * 1024;
 
-	private byte[] remainder = new byte[0];
+	private static final int INITIAL_BYTES = 512;
+
+	private byte[] remainder = new byte[INITIAL_BYTES];
+
+	private int length;
 
 	private String lastId;
 
@@ -26,24 +30,25 @@
 	 * @return the events completed by it, empty if there is none
 	 */
 	Optional<Payload> feed(Payload bytes) {
-		byte[] all = Arrays.copyOf(this.remainder, this.remainder.length + bytes.length());
-		System.arraycopy(bytes.bytes(), 0, all, this.remainder.length, bytes.length());
-		int end = lastEventEnd(all);
-		this.remainder = Arrays.copyOfRange(all, end, all.length);
+		int scanned = this.length;
+		append(bytes);
+		int end = lastEventEnd(scanned);
 		if (end == 0) {
 			return Optional.empty();
 		}
-		Payload events = new Payload(Arrays.copyOf(all, end));
+		Payload events = new Payload(Arrays.copyOf(this.remainder, end));
+		this.remainder = Arrays.copyOfRange(this.remainder, end, Math.max(this.length, end + INITIAL_BYTES));
+		this.length -= end;
 		events.text().lines().filter((line) -> line.startsWith(ID_FIELD)).forEach(this::saveId);
 		return Optional.of(events);
 	}
 
 	boolean oversized() {
-		return this.remainder.length > MAX_EVENT_BYTES;
+		return this.length > MAX_EVENT_BYTES;
 	}
 
 	boolean insideEvent() {
-		return this.remainder.length > 0;
+		return this.length > 0;
 	}
 
 	Optional<String> lastId() {
@@ -54,17 +59,31 @@
 	 * Discards an incomplete event before the stream resumes on another instance.
 	 */
 	void discardRemainder() {
-		this.remainder = new byte[0];
+		this.length = 0;
 	}
 
 	private void saveId(String line) {
 		this.lastId = line.substring(ID_FIELD.length()).trim();
 	}
 
-	private static int lastEventEnd(byte[] bytes) {
-		for (int index = bytes.length - 1; index > 0; index--) {
-			if (bytes[index] == '\n' && (bytes[index - 1] == '\n'
-					|| (index > 2 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n'))) {
+	private void append(Payload bytes) {
+		int needed = this.length + bytes.length();
+		if (needed > this.remainder.length) {
+			this.remainder = Arrays.copyOf(this.remainder, Math.max(needed, 2 * this.remainder.length));
+		}
+		System.arraycopy(bytes.bytes(), 0, this.remainder, this.length, bytes.length());
+		this.length = needed;
+	}
+
+	/**
+	 * Finds the end of the last complete event.
+	 * @param scanned the number of bytes in which no event ends
+	 * @return the number of bytes up to that end, 0 if no event ends
+	 */
+	private int lastEventEnd(int scanned) {
+		for (int index = this.length - 1; index >= Math.max(1, scanned); index--) {
+			if (this.remainder[index] == '\n' && (this.remainder[index - 1] == '\n'
+					|| (index > 2 && this.remainder[index - 1] == '\r' && this.remainder[index - 2] == '\n'))) {
 				return index + 1;
 			}
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -97,6 +97,12 @@
 					(event, now) -> current(event.attempt(),
 							(forwarding, commands) -> this.attempts.connectionFailed(forwarding, event.fault(),
 									event.detail(), now, commands)))
+			.on(ReplyWritten.class, (event, now) -> {
+				List<ForwardCommand> commands = new ArrayList<>();
+				this.state.find(event.request())
+					.ifPresent((forwarding) -> this.attempts.written(forwarding, event.bytes(), commands));
+				return commands;
+			})
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> List.of(heartbeat(now)))
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardEvent.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardEvent.java
@@ -6,6 +6,6 @@
 public sealed interface ForwardEvent permits ForwardSubmitted, ForwardCallerDisconnected, AttemptAnswered,
 		AttemptContinued, AttemptFinished, AttemptFailed, TicketReplied, ConfigurationApplied, InstancesChanged,
 		DomainsEvacuated, PeerLoadStarted, PeerLoadEnded, PeerHeartbeatReceived, PeerCountChanged, PeerUnresponsive,
-		ForwardTick, HeartbeatDue, ForwardDraining, PeerCrashesReceived, StoredSuspectsChanged {
+		ForwardTick, HeartbeatDue, ForwardDraining, PeerCrashesReceived, StoredSuspectsChanged, ReplyWritten {
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
@@ -1,6 +1,6 @@
 package org.rattanhead.decision.forward;
 
-import java.util.ArrayList;
+import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 
@@ -24,9 +24,9 @@
 
 	private final EventSplitter splitter = new EventSplitter();
 
-	private final List<Payload> buffered = new ArrayList<>();
+	private final ReplyFlow flow = new ReplyFlow();
 
-	private int bufferedBytes;
+	private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
 
 	private AnswerHead head;
 
@@ -50,13 +50,17 @@
 		return this.streamed;
 	}
 
+	ReplyFlow flow() {
+		return this.flow;
+	}
+
 	Optional<String> lastEventId() {
 		return this.splitter.lastId();
 	}
 
 	void head(AnswerHead newHead) {
-		this.buffered.clear();
-		this.bufferedBytes = 0;
+		this.buffered.reset();
+		this.flow.attemptBegan();
 		this.splitter.discardRemainder();
 		if (!this.started) {
 			this.head = newHead;
@@ -72,19 +76,19 @@
 	 * byte by byte is no progress
 	 */
 	boolean receive(Payload bytes, List<ForwardCommand> commands) {
+		this.flow.received(bytes.length());
 		if (this.streamed) {
 			Optional<Payload> complete = this.splitter.feed(bytes);
 			complete.ifPresent((events) -> send(events, commands));
 			return complete.isPresent();
 		}
 		if (this.started) {
-			commands.add(new ContinueReply(this.request, bytes));
+			send(bytes, commands);
 			return true;
 		}
-		this.buffered.add(bytes);
-		this.bufferedBytes += bytes.length();
-		if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
-			send(Payload.join(this.buffered), commands);
+		this.buffered.writeBytes(bytes.bytes());
+		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
+			send(takeBuffered(), commands);
 		}
 		return true;
 	}
@@ -104,8 +108,8 @@
 		}
 		if (!this.started) {
 			this.started = true;
-			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), this.bufferedBytes));
-			commands.add(new ContinueReply(this.request, Payload.join(this.buffered)));
+			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), this.buffered.size()));
+			commands.add(new ContinueReply(this.request, takeBuffered()));
 		}
 		commands.add(new FinishReply(this.request));
 		return true;
@@ -116,7 +120,14 @@
 			this.started = true;
 			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), UNKNOWN_LENGTH));
 		}
+		this.flow.sent(bytes.length());
 		commands.add(new ContinueReply(this.request, bytes));
 	}
 
+	private Payload takeBuffered() {
+		Payload taken = new Payload(this.buffered.toByteArray());
+		this.buffered.reset();
+		return taken;
+	}
+
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -49,6 +49,8 @@
 
 	private int requests;
 
+	private long receivedBytes;
+
 	ForwardRig() {
 		this(new ForwardLimits(0.2, 100, 10_000, 20_000));
 	}
@@ -168,8 +170,17 @@
 				new AnswerHead(status, List.of(new HttpField("Kept", "yes")), verdict, streamed, true, "")));
 	}
 
-	void bytes(AttemptId attempt, String text) {
-		handle(new AttemptContinued(attempt, Payload.of(text)));
+	List<ForwardCommand> bytes(AttemptId attempt, String text) {
+		this.receivedBytes += text.length();
+		return handle(new AttemptContinued(attempt, Payload.of(text)));
+	}
+
+	/**
+	 * Returns the bytes of all answers that instances have sent.
+	 * @return the number of bytes
+	 */
+	long receivedBytes() {
+		return this.receivedBytes;
 	}
 
 	/**
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
@@ -3,10 +3,14 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
+import org.xnio.XnioIoThread;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.TurnQueue;
+import org.rattanhead.core.TurnQueues;
 import org.rattanhead.core.problem.Problem;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.edge.CallerDisconnected;
@@ -21,6 +25,9 @@
  */
 public final class CallerRegistry implements AnswerWriter {
 
+	private final TurnQueues<XnioIoThread> turns = new TurnQueues<>(
+			(thread, round) -> thread.executeAfter(round, TurnQueue.ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+
 	private final ConcurrentMap<RequestId, CallerStream> streams = new ConcurrentHashMap<>();
 
 	private final EventSink<EdgeEvent> edge;
@@ -38,7 +45,8 @@
 	}
 
 	void register(RequestId id, HttpServerExchange exchange, boolean streamed) {
-		this.streams.put(id, new CallerStream(exchange, streamed, this.observer, () -> callerDisconnected(id)));
+		this.streams.put(id, new CallerStream(exchange, streamed, this.observer, () -> callerDisconnected(id),
+				this.turns.of(exchange.getIoThread())));
 	}
 
 	@Override
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerStream.java
@@ -7,9 +7,11 @@
 import io.undertow.util.HttpString;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.TurnQueue;
 import org.rattanhead.core.problem.Problem;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.http.FrontEndObserver;
+import org.rattanhead.server.ResponseOutbox;
 import org.rattanhead.server.ResponseWriter;
 
 /**
@@ -32,19 +34,23 @@
 
 	private final ResponseWriter writer;
 
+	private final ResponseOutbox outbox;
+
 	private final long registeredNanos = System.nanoTime();
 
-	CallerStream(HttpServerExchange exchange, boolean streamed, FrontEndObserver observer, Runnable onDisconnect) {
+	CallerStream(HttpServerExchange exchange, boolean streamed, FrontEndObserver observer, Runnable onDisconnect,
+			TurnQueue turns) {
 		this.exchange = exchange;
 		this.streamed = streamed;
 		this.observer = observer;
 		this.writer = new ResponseWriter(exchange, onDisconnect);
+		this.outbox = new ResponseOutbox(exchange.getIoThread(), this.writer, turns);
 		ConnectionCloseListener.of(exchange.getConnection()).onClose(onDisconnect);
 	}
 
 	void start(RequestId request, String upstream, int status, String contentType) {
 		this.observer.onFirstBytes((System.nanoTime() - this.registeredNanos) / NANOS_PER_SECOND);
-		onIoThread(() -> {
+		this.outbox.begin(() -> {
 			this.exchange.setStatusCode(status);
 			this.exchange.getResponseHeaders().put(REQUEST_ID_HEADER, request.value());
 			this.exchange.getResponseHeaders().put(UPSTREAM_HEADER, upstream);
@@ -58,22 +64,22 @@
 	}
 
 	void write(Payload bytes) {
-		onIoThread(() -> this.writer.write(bytes));
+		this.outbox.write(bytes);
 	}
 
 	void end() {
-		onIoThread(this.writer::end);
+		this.outbox.end(this.writer::end);
 	}
 
 	void refuse(RequestId request, Problem problem) {
-		onIoThread(() -> {
+		this.outbox.end(() -> {
 			this.exchange.getResponseHeaders().put(REQUEST_ID_HEADER, request.value());
 			ProblemDocuments.send(this.exchange, problem);
 		});
 	}
 
 	void abort(Problem problem) {
-		onIoThread(() -> {
+		this.outbox.end(() -> {
 			if (this.streamed) {
 				this.writer
 					.write(Payload.of("event: error\ndata: " + ProblemDocuments.encode(problem).text() + "\n\n"));
@@ -82,8 +88,4 @@
 		});
 	}
 
-	private void onIoThread(Runnable action) {
-		this.exchange.getIoThread().execute(action);
-	}
-
 }
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -3,9 +3,13 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
+import org.xnio.XnioIoThread;
 
+import org.rattanhead.core.TurnQueue;
+import org.rattanhead.core.TurnQueues;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.forward.AbortReply;
 import org.rattanhead.decision.forward.BeginReply;
@@ -14,6 +18,7 @@
 import org.rattanhead.decision.forward.ForwardCallerDisconnected;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.RefuseRequest;
+import org.rattanhead.decision.forward.ReplyWritten;
 import org.rattanhead.http.forward.ForwardCodec;
 import org.rattanhead.http.forward.ForwardReplyWriter;
 import org.rattanhead.ring.EventSink;
@@ -24,6 +29,9 @@
  */
 public final class ForwardRegistry implements ForwardReplyWriter {
 
+	private final TurnQueues<XnioIoThread> turns = new TurnQueues<>(
+			(thread, round) -> thread.executeAfter(round, TurnQueue.ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+
 	private final ConcurrentMap<RequestId, ForwardStream> streams = new ConcurrentHashMap<>();
 
 	private final ForwardCodec codec;
@@ -43,7 +51,10 @@
 	}
 
 	void register(RequestId id, HttpServerExchange exchange) {
-		this.streams.put(id, new ForwardStream(exchange, () -> callerDisconnected(id)));
+		this.streams.put(id,
+				new ForwardStream(exchange, () -> callerDisconnected(id),
+						(bytes) -> this.decisions.offer(new ReplyWritten(id, bytes), Urgency.CONTROL),
+						this.turns.of(exchange.getIoThread())));
 	}
 
 	boolean closing() {
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.LongPredicate;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -11,8 +12,10 @@
 
 import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.TurnQueue;
 import org.rattanhead.decision.forward.BeginReply;
 import org.rattanhead.http.forward.RefusalReply;
+import org.rattanhead.server.ResponseOutbox;
 import org.rattanhead.server.ResponseWriter;
 
 /**
@@ -27,17 +30,21 @@
 
 	private final ResponseWriter writer;
 
+	private final ResponseOutbox outbox;
+
 	private final DisconnectDetector disconnectDetector;
 
-	ForwardStream(HttpServerExchange exchange, Runnable onDisconnect) {
+	ForwardStream(HttpServerExchange exchange, Runnable onDisconnect, LongPredicate onWritten, TurnQueue turns) {
 		this.exchange = exchange;
-		this.writer = new ResponseWriter(exchange, onDisconnect);
+		WrittenBytes written = new WrittenBytes(exchange.getIoThread(), onWritten);
+		this.writer = new ResponseWriter(exchange, onDisconnect, written::add);
+		this.outbox = new ResponseOutbox(this::onIoThread, this.writer, turns);
 		ConnectionCloseListener.of(exchange.getConnection()).onClose(onDisconnect);
 		this.disconnectDetector = DisconnectDetector.start(exchange);
 	}
 
 	void begin(BeginReply command, boolean closing) {
-		onIoThread(() -> {
+		this.outbox.begin(() -> {
 			if (command.lengthBytes() >= 0) {
 				// Undertow reads the next request as soon as the last byte is written,
 				// before end() runs.
@@ -48,22 +55,22 @@
 	}
 
 	void write(Payload bytes) {
-		onIoThread(() -> this.writer.write(bytes));
+		this.outbox.write(bytes);
 	}
 
 	void end() {
-		onIoThread(() -> {
+		this.outbox.end(() -> {
 			this.disconnectDetector.stop();
 			this.writer.end();
 		});
 	}
 
 	void abort() {
-		onIoThread(this.writer::abort);
+		this.outbox.end(this.writer::abort);
 	}
 
 	void refuse(RefusalReply reply, boolean closing) {
-		onIoThread(() -> {
+		this.outbox.end(() -> {
 			this.disconnectDetector.stop();
 			setHead(reply.status(), reply.fields(), reply.body().length(), closing);
 			this.writer.write(reply.body());
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.IntConsumer;
 
 import io.undertow.server.HttpServerExchange;
 import org.xnio.IoUtils;
@@ -19,10 +20,15 @@
 
 	private static final int MAX_PENDING_BYTES = 64 * 1024 * 1024;
 
+	/** Small parts that wait share buffers of this size. */
+	private static final int SHARED_BUFFER_BYTES = 8 * 1024;
+
 	private final HttpServerExchange exchange;
 
 	private final Runnable onDisconnect;
 
+	private final IntConsumer onWritten;
+
 	private final Deque<ByteBuffer> pending = new ArrayDeque<>();
 
 	private StreamSinkChannel channel;
@@ -40,8 +46,21 @@
 	 * error, when too many bytes are pending, or after {@link #abort()}
 	 */
 	public ResponseWriter(HttpServerExchange exchange, Runnable onDisconnect) {
+		this(exchange, onDisconnect, (bytes) -> {
+		});
+	}
+
+	/**
+	 * Creates the writer of one response.
+	 * @param exchange the exchange
+	 * @param onDisconnect runs each time this writer closes the connection
+	 * @param onWritten receives the number of bytes of each successful write to the
+	 * connection
+	 */
+	public ResponseWriter(HttpServerExchange exchange, Runnable onDisconnect, IntConsumer onWritten) {
 		this.exchange = exchange;
 		this.onDisconnect = onDisconnect;
+		this.onWritten = onWritten;
 	}
 
 	/**
@@ -55,11 +74,25 @@
 			return;
 		}
 		if (bytes.length() > 0) {
-			this.pending.add(ByteBuffer.wrap(bytes.bytes()));
+			append(bytes);
 		}
 		flushPending();
 	}
 
+	private void append(Payload bytes) {
+		ByteBuffer last = this.pending.peekLast();
+		if (last != null && last.capacity() - last.limit() >= bytes.length()) {
+			int start = last.limit();
+			last.limit(start + bytes.length()).put(start, bytes.bytes());
+		}
+		else if (last != null && bytes.length() < SHARED_BUFFER_BYTES) {
+			this.pending.add(ByteBuffer.allocate(SHARED_BUFFER_BYTES).put(bytes.bytes()).flip());
+		}
+		else {
+			this.pending.add(ByteBuffer.wrap(bytes.bytes()));
+		}
+	}
+
 	/**
 	 * Ends the response cleanly after all pending bytes are written.
 	 */
@@ -102,6 +135,9 @@
 			ByteBuffer next = this.pending.peek();
 			int written = this.channel.write(next);
 			this.pendingBytes -= written;
+			if (written > 0) {
+				this.onWritten.accept(written);
+			}
 			if (next.hasRemaining()) {
 				return false;
 			}
--- /dev/null
+++ b/rattanhead-server/src/test/java/org/rattanhead/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of response writing.
+ */
+package org.rattanhead.server;
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -17,6 +17,7 @@
 import org.rattanhead.decision.forward.AttemptFailed;
 import org.rattanhead.decision.forward.CallInstance;
 import org.rattanhead.decision.forward.ForwardEvent;
+import org.rattanhead.decision.forward.GrantBytes;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReserveTicket;
 import org.rattanhead.decision.forward.TicketOutcome;
@@ -63,6 +64,7 @@
 		HandlerTable<ForwardTask, Boolean> handlers = new HandlerTable<ForwardTask, Boolean>()
 			.on(StartForward.class, (task, now) -> start(task.command()))
 			.on(StopForward.class, (task, now) -> abort(task.attempt()))
+			.on(GrantForward.class, (task, now) -> grantCall(task.command()))
 			.on(RemoveForward.class, (task, now) -> this.calls.remove(task.attempt()) != null)
 			.on(UpdateReservation.class, (task, now) -> sendReservation(task))
 			.covering(ForwardTask.class);
@@ -91,6 +93,14 @@
 		this.duty.offer(new StopForward(command.attempt()), Urgency.CONTROL);
 	}
 
+	/**
+	 * Allows a call to receive more of its answer.
+	 * @param command the call and the number of bytes
+	 */
+	public void grant(GrantBytes command) {
+		this.duty.offer(new GrantForward(command), Urgency.CONTROL);
+	}
+
 	/**
 	 * Reserves memory, or renews the reservation.
 	 * @param command the reservation
@@ -134,6 +144,14 @@
 		return call != null;
 	}
 
+	private boolean grantCall(GrantBytes command) {
+		OngoingCall call = this.calls.get(command.attempt());
+		if (call != null) {
+			call.grant(command.bytes());
+		}
+		return call != null;
+	}
+
 	private boolean sendReservation(UpdateReservation task) {
 		this.caller.call(task.call()).whenComplete((reply, failure) -> {
 			TicketOutcome outcome = (reply != null) ? outcome(reply, task.release()) : TicketOutcome.UNKNOWN;
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
@@ -11,6 +11,7 @@
 import org.rattanhead.decision.forward.AttemptFailed;
 import org.rattanhead.decision.forward.AttemptFinished;
 import org.rattanhead.decision.forward.ForwardEvent;
+import org.rattanhead.decision.forward.GrantBytes;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
 
@@ -46,6 +47,11 @@
 		return this.decisions.offer(new AttemptContinued(this.call.attempt(), bytes), Urgency.STREAM);
 	}
 
+	@Override
+	public long windowBytes() {
+		return GrantBytes.WINDOW_BYTES;
+	}
+
 	@Override
 	public void onEnd() {
 		this.onEnded.run();
