--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -25,11 +25,6 @@
 	/** The remaining time below which another attempt is not worth starting. */
 	private static final long MIN_RETRY_MILLIS = 60;
 
-	/** The shortest idle time after which a stream resumes on another instance. */
-	private static final long MIN_IDLE_TIMEOUT_MILLIS = 1_000;
-
-	private static final long IDLE_TIMEOUT_FACTOR = 4;
-
 	/** The extension of the timeout while the engine still responds to other requests. */
 	private static final long TIMEOUT_EXTENSION_MILLIS = 300;
 
@@ -75,7 +70,7 @@
 		else {
 			forwarding.answerHead(head);
 			forwarding.relay().head(head);
-			forwarding.stage(ForwardStage.ANSWERING, idleDeadline(forwarding, nowNanos));
+			forwarding.stage(ForwardStage.ANSWERING, IdleTimeout.deadlineNanos(forwarding.route(), nowNanos));
 		}
 	}
 
@@ -84,7 +79,7 @@
 		this.evidence.answerContinued(forwarding, nowNanos);
 		if (forwarding.relay().receive(bytes, commands)) {
 			forwarding.plan().primary().responseReceived(nowNanos);
-			forwarding.stage(ForwardStage.ANSWERING, idleDeadline(forwarding, nowNanos));
+			forwarding.stage(ForwardStage.ANSWERING, IdleTimeout.deadlineNanos(forwarding.route(), nowNanos));
 		}
 		else if (forwarding.relay().eventOversized()) {
 			commands.add(new AbortAttempt(forwarding.attempt()));
@@ -92,27 +87,7 @@
 					commands);
 			return;
 		}
-		grant(forwarding, commands);
-	}
-
-	/**
-	 * Reads on from the instance if the caller has taken enough of the reply.
-	 * @param forwarding the request
-	 * @param bytes the number of bytes that the caller has taken
-	 * @param commands receives the resulting commands
-	 */
-	void written(Forwarding forwarding, long bytes, List<ForwardCommand> commands) {
-		forwarding.relay().flow().written(bytes);
-		if (forwarding.stage() == ForwardStage.ANSWERING) {
-			grant(forwarding, commands);
-		}
-	}
-
-	private static void grant(Forwarding forwarding, List<ForwardCommand> commands) {
-		long bytes = forwarding.relay().flow().takeGrant();
-		if (bytes > 0) {
-			commands.add(new GrantBytes(forwarding.attempt(), bytes));
-		}
+		forwarding.relay().flow().grant(forwarding.attempt(), commands);
 	}
 
 	void finished(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
@@ -192,7 +167,7 @@
 		}
 		else if (forwarding.relay().flow().blocked()) {
 			// The instance is silent because its answer is not read.
-			forwarding.stage(forwarding.stage(), idleDeadline(forwarding, nowNanos));
+			forwarding.stage(forwarding.stage(), IdleTimeout.deadlineNanos(forwarding.route(), nowNanos));
 		}
 		else if (forwarding.service().engine().isPresent() && forwarding.plan().primary().alive(nowNanos)
 				&& forwarding.extend(MAX_TIMEOUT_EXTENSIONS)) {
@@ -310,12 +285,4 @@
 		}
 	}
 
-	private static long idleDeadline(Forwarding forwarding, long nowNanos) {
-		if (!forwarding.route().repeatable()) {
-			return Long.MAX_VALUE;
-		}
-		return nowNanos + Millis
-			.toNanos(Math.max(MIN_IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_FACTOR * forwarding.route().targetGapMillis()));
-	}
-
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -97,12 +97,7 @@
 					(event, now) -> current(event.attempt(),
 							(forwarding, commands) -> this.attempts.connectionFailed(forwarding, event.fault(),
 									event.detail(), now, commands)))
-			.on(ReplyWritten.class, (event, now) -> {
-				List<ForwardCommand> commands = new ArrayList<>();
-				this.state.find(event.request())
-					.ifPresent((forwarding) -> this.attempts.written(forwarding, event.bytes(), commands));
-				return commands;
-			})
+			.on(ReplyWritten.class, (event, now) -> written(event))
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> List.of(heartbeat(now)))
@@ -163,6 +158,18 @@
 		return commands;
 	}
 
+	private List<ForwardCommand> written(ReplyWritten event) {
+		List<ForwardCommand> commands = new ArrayList<>();
+		this.state.find(event.request()).ifPresent((forwarding) -> {
+			ReplyFlow flow = forwarding.relay().flow();
+			flow.written(event.bytes());
+			if (forwarding.stage() == ForwardStage.ANSWERING) {
+				flow.grant(forwarding.attempt(), commands);
+			}
+		});
+		return commands;
+	}
+
 	private List<ForwardCommand> ticketReplied(TicketReplied event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		this.state.tickets().replied(event, nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyFlow.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyFlow.java
@@ -1,5 +1,9 @@
 package org.rattanhead.decision.forward;
 
+import java.util.List;
+
+import org.rattanhead.core.request.AttemptId;
+
 /**
  * Flow control of the replies to one request. The instance is read on only while the
  * caller takes what was read before, so that a slow caller or an endless answer occupies
@@ -57,16 +61,15 @@
 	}
 
 	/**
-	 * Takes the grant that is due.
-	 * @return the number of bytes to grant, 0 if no grant is due
+	 * Grants what is due to the current attempt.
+	 * @param attempt the attempt
+	 * @param commands receives the grant, if one is due
 	 */
-	long takeGrant() {
-		if (blocked() || this.ungrantedBytes < MIN_GRANT_BYTES) {
-			return 0;
+	void grant(AttemptId attempt, List<ForwardCommand> commands) {
+		if (!blocked() && this.ungrantedBytes >= MIN_GRANT_BYTES) {
+			commands.add(new GrantBytes(attempt, this.ungrantedBytes));
+			this.ungrantedBytes = 0;
 		}
-		long granted = this.ungrantedBytes;
-		this.ungrantedBytes = 0;
-		return granted;
 	}
 
 }
