Send responses of unknown length in chunks on closing connections too

Cause: Undertow chunks a response of unknown length only on a connection that persists; a shutdown, Connection: close and HTTP/1.0 end persistence. Ruled out: a last chunk written after an abort.

Fix: the writer of both front ends asks for chunks where the caller speaks HTTP/1.1; for HTTP/1.0 an aborted response ends with a reset. A break is visible whatever its reason, since the framing no longer depends on it.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RawCaller.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RawCaller.java
@@ -77,6 +77,21 @@
 		return text;
 	}
 
+	/**
+	 * Reads until the server ends the connection.
+	 * @return the text; if the connection was reset, followed by {@code <reset>}
+	 */
+	public String allUntilEnd() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			this.socket.getInputStream().transferTo(out);
+			return out.toString(StandardCharsets.UTF_8);
+		}
+		catch (IOException ex) {
+			return out.toString(StandardCharsets.UTF_8) + "<reset>";
+		}
+	}
+
 	private static boolean isComplete(String text) {
 		int end = text.indexOf("\r\n\r\n");
 		if (end < 0) {
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
@@ -115,6 +115,7 @@
 		}
 		try {
 			if (this.channel == null) {
+				ResponseFraming.apply(this.exchange);
 				this.channel = this.exchange.getResponseChannel();
 				this.channel.getWriteSetter().set((ready) -> flushPending());
 			}
@@ -148,6 +149,7 @@
 
 	private void completeOrClose() throws IOException {
 		if (this.end == ResponseEnd.ABORTED) {
+			ResponseFraming.resetUnlessFramed(this.exchange);
 			close();
 		}
 		else if (this.end == ResponseEnd.COMPLETE) {
