Give every request a final reply before a shutdown ends

Cause: the decisions knew the start of a shutdown, not its end; the front end was closed under the requests that were left. Evidence: no decision on the request in the log. Ruled out: a reply that is decided on and not written.

Fix: the decisions know when the daemon stops, send held prompts in time or refuse them, and end what is left with a reply; the front end closes once the responses are written. Also in the own path, which besides left out the shutdown of the lease holder after a time-out.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -120,6 +120,7 @@
 	/**
 	 * Reads until the buffer is full, the channel has no more bytes, or the turn is over.
 	 * The end and a failure are kept until the bytes before them are delivered.
+	 * @param buffer the buffer, which is empty
 	 * @return whether the channel has no more bytes for now
 	 */
 	private boolean fill(ByteBuffer buffer) {
@@ -140,6 +141,7 @@
 
 	/**
 	 * Delivers the bytes of a buffer.
+	 * @param buffer the buffer, ready to be read
 	 * @return false if the reply is too large, or the bytes are to be delivered later
 	 */
 	private boolean deliver(ByteBuffer buffer) {
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import org.rattanhead.decision.edge.EdgeCatalogueChanged;
 import org.rattanhead.decision.edge.EdgeDecider;
 import org.rattanhead.decision.edge.EdgeEvent;
+import org.rattanhead.decision.edge.EdgeGraceEnded;
 import org.rattanhead.decision.edge.EdgeMembersChanged;
 import org.rattanhead.decision.edge.EdgeShutdown;
 import org.rattanhead.decision.edge.EdgeTick;
@@ -56,6 +57,9 @@
 
 	private static final int IO_THREADS = 2;
 
+	/** How long the last answers may take to be written at the end of a shutdown. */
+	private static final long FINAL_ANSWERS_MILLIS = 500;
+
 	private static final long TICK_MILLIS = 25;
 
 	private static final long CLAIM_TICK_MILLIS = 10;
@@ -86,6 +90,8 @@
 
 	private final PeerDuty peers;
 
+	private final FrontEnd frontEnd;
+
 	private final ClaimDuty claims;
 
 	/**
@@ -112,8 +118,8 @@
 				new PeerEventRouter(this.edge, this.holder, this.membership, this.claims, this.status)));
 		this.peers = own(new PeerDuty(this.network, this.edge));
 		UpstreamDuty upstreams = own(new UpstreamDuty(upstreamCaller, this.holder, this.metrics::countCrossedAnswer));
-		FrontEnd frontEnd = own(new FrontEnd(self, settings.callers(), this.edge, pages(), this.metrics));
-		DeliveryDuty delivery = own(new DeliveryDuty(frontEnd.answers(), this.edge));
+		this.frontEnd = own(new FrontEnd(self, settings.callers(), this.edge, pages(), this.metrics));
+		DeliveryDuty delivery = own(new DeliveryDuty(this.frontEnd.answers(), this.edge));
 		this.edgeRouter.complete(new EdgeRouter(self, this.edge, this.holder, this.peers, this.claims, delivery,
 				this.metrics, () -> this.edgeDrained.complete(null)));
 		this.holderRouter.complete(new HolderRouter(self, this.edge, this.holder, this.peers, upstreams, this.status,
@@ -127,7 +133,8 @@
 
 	/**
 	 * Shuts down without aborting requests: announces the shutdown, waits until callers
-	 * use other addresses, refuses new work, and waits for running requests.
+	 * use other addresses, refuses new work, and waits for running requests. Requests
+	 * that are left at the end of the wait get their final answer.
 	 */
 	public void drain() {
 		LOGGER.info("daemon: shutting down; new work is accepted for another {} ms", this.settings.drainDelayMillis());
@@ -137,17 +144,35 @@
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.drainDelayMillis());
 			this.edge.offer(new EdgeShutdown(), Urgency.CONTROL);
-			this.edgeDrained.get(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS);
+			if (!await(this.edgeDrained, this.settings.drainTimeoutMillis())) {
+				LOGGER.warn("daemon: some requests still run after {} ms and get their final answer;"
+						+ " raise drain-timeout to wait longer", this.settings.drainTimeoutMillis());
+				this.edge.offer(new EdgeGraceEnded(), Urgency.CONTROL);
+				await(this.edgeDrained, FINAL_ANSWERS_MILLIS);
+			}
 			this.holder.offer(new HolderShutdown(), Urgency.CONTROL);
-			this.holderDrained.get(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS);
-			LOGGER.info("daemon: every request has finished");
+			if (!await(this.holderDrained, this.settings.drainTimeoutMillis())) {
+				LOGGER.warn("daemon: some work of other daemons still runs and is cancelled");
+			}
+			boolean written = this.frontEnd.awaitWritten(FINAL_ANSWERS_MILLIS);
+			LOGGER.info("daemon: stopped; {}",
+					written ? "every request has ended" : "some answers were not written to the end");
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		catch (ExecutionException | TimeoutException ex) {
-			LOGGER.warn("daemon: some requests still run after {} ms; raise drain-timeout to wait longer",
-					this.settings.drainTimeoutMillis());
+	}
+
+	private static boolean await(CompletableFuture<Void> event, long timeoutMillis) throws InterruptedException {
+		try {
+			event.get(timeoutMillis, TimeUnit.MILLISECONDS);
+			return true;
+		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException("The shutdown failed", ex);
+		}
+		catch (TimeoutException ex) {
+			return false;
 		}
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -27,7 +27,9 @@
 import org.rattanhead.decision.forward.ForwardDraining;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.ForwardTick;
+import org.rattanhead.decision.forward.GraceEnded;
 import org.rattanhead.decision.forward.HeartbeatDue;
+import org.rattanhead.decision.forward.ShutdownStarted;
 import org.rattanhead.http.forward.ForwardFrontEnd;
 import org.rattanhead.http.forward.ForwardSettings;
 import org.rattanhead.http.forward.PageContent;
@@ -82,6 +84,9 @@
 	/** The part of the shutdown grace period reserved for closing connections. */
 	private static final long CLOSE_MARGIN_MILLIS = 600;
 
+	/** The part of the margin in which the last responses are written. */
+	private static final long FINAL_REPLIES_MILLIS = 300;
+
 	private static final int MAX_HEADER_BYTES = 32 * 1024;
 
 	private static final long MAX_BODY_BYTES = 16L * 1024 * 1024;
@@ -168,7 +173,8 @@
 
 	/**
 	 * Shuts down without aborting requests: withdraws readiness, accepts requests until
-	 * callers use other addresses, then waits for the running requests.
+	 * callers use other addresses, then waits for the running requests. Requests that are
+	 * left at the end of the grace period get their final reply.
 	 */
 	void drain() {
 		LOGGER.info("daemon: shutting down; requests are accepted for another {} ms", DRAIN_DELAY_MILLIS);
@@ -176,19 +182,40 @@
 				+ TimeUnit.MILLISECONDS.toNanos(this.settings.graceMillis() - CLOSE_MARGIN_MILLIS);
 		this.status.startDraining();
 		this.frontEnd.replies().closeAfterAnswers();
+		this.decisions.offer(new ShutdownStarted(endNanos), Urgency.CONTROL);
 		this.decisions.offer(new HeartbeatDue(), Urgency.CONTROL);
 		try {
 			TimeUnit.MILLISECONDS.sleep(Math.min(DRAIN_DELAY_MILLIS, this.settings.graceMillis() / 2));
 			this.decisions.offer(new ForwardDraining(true), Urgency.CONTROL);
-			this.drained.get(Math.max(1, endNanos - System.nanoTime()), TimeUnit.NANOSECONDS);
-			LOGGER.info("daemon: stopped; every request has ended");
+			if (!awaitDrained(millisUntil(endNanos))) {
+				LOGGER.warn("daemon: requests still run at the end of the grace period; they get their final reply");
+				this.decisions.offer(new GraceEnded(), Urgency.CONTROL);
+				awaitDrained(FINAL_REPLIES_MILLIS);
+			}
+			boolean written = this.frontEnd.awaitWritten(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
+			LOGGER.info("daemon: stopped; {}",
+					written ? "every request has ended" : "some responses were not written to the end");
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		catch (ExecutionException | TimeoutException ex) {
-			LOGGER.warn("daemon: stopped; some requests still ran at the end of the grace period");
+	}
+
+	private boolean awaitDrained(long timeoutMillis) throws InterruptedException {
+		try {
+			this.drained.get(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
+			return true;
 		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException("The shutdown failed", ex);
+		}
+		catch (TimeoutException ex) {
+			return false;
+		}
+	}
+
+	private static long millisUntil(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime());
 	}
 
 	/**
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/edge/EdgeDecider.java
@@ -33,8 +33,6 @@
  */
 public final class EdgeDecider {
 
-	private static final long RETRY_AFTER_MILLIS = 1_000;
-
 	private final HandlerTable<EdgeEvent, List<EdgeCommand>> eventHandlers = new HandlerTable<>();
 
 	private final HandlerTable<WorkSignal, List<EdgeCommand>> signalHandlers = new HandlerTable<>();
@@ -69,6 +67,7 @@
 			.on(PeerLost.class, this::peerLost)
 			.on(EdgeTick.class, (event, now) -> tick(now))
 			.on(EdgeShutdown.class, (event, now) -> shutdown())
+			.on(EdgeGraceEnded.class, (event, now) -> graceEnded())
 			.covering(EdgeEvent.class);
 		this.signalHandlers.on(WorkStarted.class, (signal, now) -> started(signal))
 			.on(WorkChunk.class, (signal, now) -> chunk(signal))
@@ -98,7 +97,8 @@
 		Optional<? extends EdgeCommand> firstCommand = work.repeatable() ? place(work)
 				: this.claims.requestClaim(work, request.digest(), this.fleet);
 		if (firstCommand.isEmpty()) {
-			return refuse(request.id(), work.repeatable() ? noUpstream(work) : claimsUnavailable());
+			return refuse(request.id(), work.repeatable() ? PlacementProblems.noUpstream(work)
+					: ClaimProblems.of(ClaimOutcome.UNAVAILABLE));
 		}
 		this.requests.admit(work);
 		return List.of(new CountEdgeEvent(EdgeMetric.ADMITTED, work.workspace()), firstCommand.get());
@@ -124,7 +124,8 @@
 		Work work = this.claims.remove(id).orElseThrow().work();
 		if (event.verdict().outcome() == ClaimOutcome.GRANTED) {
 			Optional<SendOrder> order = place(work);
-			return order.isPresent() ? List.of(order.get()) : failClaimed(work, noUpstream(work), true);
+			return order.isPresent() ? List.of(order.get())
+					: failClaimed(work, PlacementProblems.noUpstream(work), true);
 		}
 		return event.verdict()
 			.answer()
@@ -231,15 +232,23 @@
 
 	private List<EdgeCommand> abandonClaim(RequestId id) {
 		return this.claims.remove(id)
-			.map((claiming) -> failClaimed(claiming.work(), claimsUnavailable(), true))
+			.map((claiming) -> failClaimed(claiming.work(), ClaimProblems.of(ClaimOutcome.UNAVAILABLE), true))
 			.orElse(List.of());
 	}
 
 	private List<EdgeCommand> tick(long nowNanos) {
-		Problem problem = Problem.failed(ProblemKind.DEADLINE_EXCEEDED,
-				"The deadline passed before the answer was complete.");
+		return endRequests(this.requests.expire(nowNanos),
+				Problem.failed(ProblemKind.DEADLINE_EXCEEDED, "The deadline passed before the answer was complete."));
+	}
+
+	private List<EdgeCommand> graceEnded() {
+		return endRequests(this.requests.expire(Long.MAX_VALUE),
+				Problem.unknown(ProblemKind.UPSTREAM_FAILED, "The daemon shut down before the answer was complete."));
+	}
+
+	private List<EdgeCommand> endRequests(List<RequestId> ids, Problem problem) {
 		List<EdgeCommand> commands = new ArrayList<>();
-		for (RequestId id : this.requests.expire(nowNanos)) {
+		for (RequestId id : ids) {
 			Optional<PendingRequest> request = this.requests.find(id);
 			request.ifPresent(
 					(found) -> commands.add(new SendOrder(found.holder(), new CancelWork(found.work().attempt()))));
@@ -285,13 +294,4 @@
 		return all;
 	}
 
-	private static Problem claimsUnavailable() {
-		return ClaimProblems.of(ClaimOutcome.UNAVAILABLE);
-	}
-
-	private static Problem noUpstream(Work work) {
-		return Problem.notRun(ProblemKind.NO_UPSTREAM,
-				"No upstream of '" + work.target().name() + "' accepts new work now.", RETRY_AFTER_MILLIS);
-	}
-
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
@@ -25,6 +25,17 @@
 				: Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "The instance may have run the request: " + detail);
 	}
 
+	/**
+	 * Returns the problem of a request that is left at the end of a shutdown.
+	 * @param forwarding the request
+	 * @return the problem
+	 */
+	static Problem shutDown(Forwarding forwarding) {
+		return (forwarding.runs() > 0) ? ran(forwarding, "the daemon shut down before its answer was complete.")
+				: Problem.notRun(ProblemKind.SHUTTING_DOWN, "The daemon shut down before the request was sent.",
+						RETRY_AFTER_MILLIS);
+	}
+
 	/**
 	 * Returns the problem of a request that no instance has run.
 	 * @param detail what happened
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -191,6 +191,11 @@
 		fail(forwarding, problem, nowNanos, commands);
 	}
 
+	void graceEnded(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+		abort(forwarding, commands);
+		fail(forwarding, AttemptProblems.shutDown(forwarding), nowNanos, commands);
+	}
+
 	void callerDisconnected(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		abort(forwarding, commands);
 		commands.add(AttemptLog.decision("abandoned", forwarding, "the caller disconnected", nowNanos));
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
@@ -14,6 +14,9 @@
 	/** No instance accepts the request. */
 	NO_INSTANCE("No instance of the service accepts new work."),
 
+	/** The daemon stops before the answer would be complete. */
+	SHUTTING_DOWN("The daemon shuts down before the answer would be complete."),
+
 	/** All instances together cannot read the prompt before the deadline. */
 	TOO_LONG("The available instances cannot read the prompt before the deadline.");
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.EngineModel;
@@ -73,7 +74,11 @@
 		if (deadlineUnreachable(forwarding, nowNanos)) {
 			return DispatchResult.TOO_LONG;
 		}
-		if (HoldRule.holds(forwarding, plan, nowNanos)) {
+		long remainingMillis = remainingMillis(forwarding, nowNanos);
+		if (outlastsShutdown(plan, nowNanos)) {
+			return DispatchResult.SHUTTING_DOWN;
+		}
+		if (HoldRule.holds(forwarding, plan, remainingMillis, nowNanos)) {
 			forwarding.hold();
 			return DispatchResult.HELD;
 		}
@@ -149,6 +154,23 @@
 		this.state.tickets().release(forwarding.attempt(), nowNanos, commands);
 	}
 
+	/**
+	 * Returns whether the answer would be cut off by the end of a shutdown.
+	 * @param plan where the request would be sent
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if it would
+	 */
+	private boolean outlastsShutdown(PlacementPlan plan, long nowNanos) {
+		OptionalLong shutdownMillis = this.state.remainingMillis(nowNanos);
+		return shutdownMillis.isPresent() && plan.partMillis() > 0
+				&& plan.firstTokenMillis() + HoldRule.ANSWER_MILLIS > shutdownMillis.getAsLong();
+	}
+
+	private long remainingMillis(Forwarding forwarding, long nowNanos) {
+		return Math.min(forwarding.remainingMillis(nowNanos),
+				this.state.remainingMillis(nowNanos).orElse(Long.MAX_VALUE));
+	}
+
 	private boolean deadlineUnreachable(Forwarding forwarding, long nowNanos) {
 		Optional<EngineModel> engine = forwarding.service().engine();
 		long promptTokens = forwarding.request().tokens().orElse(NO_TOKENS).promptTokens();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -101,7 +101,9 @@
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> List.of(heartbeat(now)))
-			.on(ForwardDraining.class, (event, now) -> drain(event));
+			.on(ShutdownStarted.class, (event, now) -> changed(() -> this.state.shutdown(event.endNanos())))
+			.on(ForwardDraining.class, (event, now) -> drain(event))
+			.on(GraceEnded.class, (event, now) -> graceEnded(now));
 	}
 
 	private void registerFleet() {
@@ -230,6 +232,14 @@
 		return List.of();
 	}
 
+	private List<ForwardCommand> graceEnded(long nowNanos) {
+		this.draining = true;
+		this.state.refuseNew();
+		List<ForwardCommand> commands = new ArrayList<>();
+		this.state.all().forEach((forwarding) -> this.attempts.graceEnded(forwarding, nowNanos, commands));
+		return commands;
+	}
+
 	private void storedSuspectsChanged(StoredSuspectsChanged event, long nowNanos) {
 		this.state.storedSuspects().removeAll(event.deleted());
 		this.state.storedSuspects().addAll(event.stored());
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.rattanhead.core.Millis;
 import org.rattanhead.core.request.AttemptId;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.crash.CrashSuspects;
@@ -37,6 +39,8 @@
 
 	private boolean refusesNew;
 
+	private OptionalLong shutdownNanos = OptionalLong.empty();
+
 	ForwardState(String self, ForwardLimits limits, RandomGenerator random) {
 		this.self = self;
 		this.random = random;
@@ -92,6 +96,20 @@
 		this.refusesNew = true;
 	}
 
+	void shutdown(long endNanos) {
+		this.shutdownNanos = OptionalLong.of(endNanos);
+	}
+
+	/**
+	 * Returns how long the daemon still runs.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in milliseconds, empty if no shutdown has started
+	 */
+	OptionalLong remainingMillis(long nowNanos) {
+		return this.shutdownNanos.isEmpty() ? OptionalLong.empty()
+				: OptionalLong.of(Millis.ofNanos(this.shutdownNanos.getAsLong() - nowNanos));
+	}
+
 	Optional<Forwarding> find(RequestId id) {
 		return Optional.ofNullable(this.requests.get(id));
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/HoldRule.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/HoldRule.java
@@ -24,7 +24,7 @@
 	private static final double LATE_MAX_COST_SHARE = 0.1;
 
 	/** Duration of a response after its first token. */
-	private static final long ANSWER_MILLIS = 2_500;
+	static final long ANSWER_MILLIS = 2_500;
 
 	/**
 	 * The prompt is sent regardless of the cost once its first token takes this share of
@@ -35,7 +35,15 @@
 	private HoldRule() {
 	}
 
-	static boolean holds(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+	/**
+	 * Decides whether a request waits.
+	 * @param forwarding the request
+	 * @param plan where it would be sent now
+	 * @param remainingMillis the time left for its answer
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if it waits
+	 */
+	static boolean holds(Forwarding forwarding, PlacementPlan plan, long remainingMillis, long nowNanos) {
 		if (plan.partMillis() == 0 || forwarding.service().engine().isEmpty()) {
 			return false;
 		}
@@ -43,10 +51,10 @@
 		if (EnginePlacement.isSingleRead(forwarding.service().engine().get(), promptTokens)) {
 			return false;
 		}
-		if (plan.firstTokenMillis() >= forwarding.remainingMillis(nowNanos)) {
+		if (plan.firstTokenMillis() >= remainingMillis) {
 			return true;
 		}
-		double readableMillis = forwarding.remainingMillis(nowNanos) - ANSWER_MILLIS;
+		double readableMillis = remainingMillis - ANSWER_MILLIS;
 		if (plan.firstTokenMillis() >= MAX_READ_SHARE * readableMillis) {
 			return false;
 		}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/edge/EdgeDeciderTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/edge/EdgeDeciderTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.problem.Execution;
@@ -19,6 +20,7 @@
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.core.request.Target;
 import org.rattanhead.core.request.TargetKind;
+import org.rattanhead.core.work.CancelWork;
 import org.rattanhead.core.work.SubmitWork;
 import org.rattanhead.core.work.WorkChunk;
 import org.rattanhead.core.work.WorkEnded;
@@ -130,6 +132,24 @@
 		assertThat(this.commands.stream().filter(SendOrder.class::isInstance)).hasSize(1);
 	}
 
+	/** Guards against LOST: a connection that is closed without a final answer. */
+	@ParameterizedTest(name = "answer started: {0}")
+	@ValueSource(booleans = { false, true })
+	void givesEveryRequestItsFinalAnswerAtTheEndOfAShutdown(boolean answerStarted) {
+		loadCatalogueAndMembers();
+		on(new RequestSubmitted(Fixtures.request("r", 10)), 0);
+		SendOrder order = lastOrder();
+		if (answerStarted) {
+			on(new SignalReceived(order.toHost(), new WorkStarted(order.order().attempt(), "e1", 200, "text")), 1);
+		}
+		on(new EdgeShutdown(), 2);
+		on(new EdgeGraceEnded(), 3);
+		assertThat(this.commands.stream().filter(AbortAnswer.class::isInstance)).hasSize(answerStarted ? 1 : 0);
+		assertThat(this.commands.stream().filter(SendProblem.class::isInstance)).hasSize(answerStarted ? 0 : 1);
+		assertThat(lastOrder().order()).isEqualTo(new CancelWork(order.order().attempt()));
+		assertThat(this.commands).anyMatch(EdgeDrained.class::isInstance);
+	}
+
 	static Stream<Arguments> unexpectedSignals() {
 		return Stream.of(Arguments.of("another attempt", "r", 2, true), Arguments.of("another request", "q", 1, true),
 				Arguments.of("another daemon", "r", 1, false));
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -129,6 +129,10 @@
 		return this;
 	}
 
+	long nanosIn(long millis) {
+		return Millis.toNanos(this.nowMillis + millis);
+	}
+
 	RequestId submit(String path) {
 		return submit(path, 0, KEY, 7);
 	}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
@@ -68,6 +68,16 @@
 		return this.registry;
 	}
 
+	/**
+	 * Waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
+		return this.registry.awaitWritten(timeoutMillis);
+	}
+
 	private HttpHandler routes(FrontEndSettings settings, EventSink<EdgeEvent> edge, FrontEndPages pages,
 			FrontEndObserver observer) {
 		PathHandler routes = new PathHandler(ProblemDocuments.unknownPath(observer));
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -74,6 +74,16 @@
 		return this.registry;
 	}
 
+	/**
+	 * Waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
+		return this.registry.awaitWritten(timeoutMillis);
+	}
+
 	private static HttpHandler routeByPort(InetSocketAddress callerAddress, HttpHandler forwardHandler,
 			List<ServedPage> pages) {
 		Map<Integer, Map<String, ServedPage>> pagesByPort = new HashMap<>();
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
@@ -30,6 +30,8 @@
 
 	private final ConcurrentMap<RequestId, CallerStream> streams = new ConcurrentHashMap<>();
 
+	private final OpenResponses openResponses = new OpenResponses();
+
 	private final EventSink<EdgeEvent> edge;
 
 	private final FrontEndObserver observer;
@@ -45,8 +47,11 @@
 	}
 
 	void register(RequestId id, HttpServerExchange exchange, boolean streamed) {
-		this.streams.put(id, new CallerStream(exchange, streamed, this.observer, () -> callerDisconnected(id),
-				this.turns.of(exchange.getIoThread())));
+		Runnable ended = this.openResponses.open(exchange);
+		this.streams.put(id, new CallerStream(exchange, streamed, this.observer, () -> {
+			ended.run();
+			callerDisconnected(id);
+		}, this.turns.of(exchange.getIoThread())));
 	}
 
 	@Override
@@ -74,6 +79,16 @@
 		remove(request).ifPresent((stream) -> stream.abort(problem));
 	}
 
+	/**
+	 * Waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
+		return this.openResponses.awaitNone(timeoutMillis);
+	}
+
 	private void callerDisconnected(RequestId request) {
 		if (remove(request).isPresent()) {
 			this.edge.offer(new CallerDisconnected(request), Urgency.CONTROL);
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -34,6 +34,8 @@
 
 	private final ConcurrentMap<RequestId, ForwardStream> streams = new ConcurrentHashMap<>();
 
+	private final OpenResponses openResponses = new OpenResponses();
+
 	private final ForwardCodec codec;
 
 	private final EventSink<ForwardEvent> decisions;
@@ -51,10 +53,12 @@
 	}
 
 	void register(RequestId id, HttpServerExchange exchange) {
-		this.streams.put(id,
-				new ForwardStream(exchange, () -> callerDisconnected(id),
-						(bytes) -> this.decisions.offer(new ReplyWritten(id, bytes), Urgency.CONTROL),
-						this.turns.of(exchange.getIoThread())));
+		Runnable ended = this.openResponses.open(exchange);
+		this.streams.put(id, new ForwardStream(exchange, () -> {
+			ended.run();
+			callerDisconnected(id);
+		}, (bytes) -> this.decisions.offer(new ReplyWritten(id, bytes), Urgency.CONTROL),
+				this.turns.of(exchange.getIoThread())));
 	}
 
 	boolean closing() {
@@ -92,6 +96,16 @@
 		this.closing = true;
 	}
 
+	/**
+	 * Waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
+		return this.openResponses.awaitNone(timeoutMillis);
+	}
+
 	private void callerDisconnected(RequestId request) {
 		if (remove(request).isPresent()) {
 			this.decisions.offer(new ForwardCallerDisconnected(request), Urgency.CONTROL);
