Heed servers that say they leave or ask for time

A notice binds its incarnation and older ones whatever the store says, and is read by placement, retries, reservations and orders. After a quiet time an instance gets one request at a time until one completes. While all instances of a service want quiet, requests are refused at once with the time until the first is back.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
@@ -1,5 +1,7 @@
 package org.rattanhead.decision.forward;
 
+import java.util.OptionalLong;
+
 import org.rattanhead.core.problem.Problem;
 import org.rattanhead.core.problem.ProblemKind;
 
@@ -39,10 +41,11 @@
 	/**
 	 * Returns the problem of a request that no instance has run.
 	 * @param detail what happened
+	 * @param quietMillis how long no instance wants requests, in milliseconds
 	 * @return the problem
 	 */
-	static Problem notRun(String detail) {
-		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS);
+	static Problem notRun(String detail, OptionalLong quietMillis) {
+		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, quietMillis.orElse(RETRY_AFTER_MILLIS));
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -1,6 +1,7 @@
 package org.rattanhead.decision.forward;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.Payload;
@@ -137,7 +138,7 @@
 	 * @param commands receives the resulting commands
 	 */
 	void reserved(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
-		if (this.state.fleet().acceptsWork(forwarding.plan().primary())) {
+		if (this.state.fleet().acceptsWork(forwarding.plan(), nowNanos)) {
 			this.dispatcher.send(forwarding, nowNanos, commands);
 		}
 		else {
@@ -187,7 +188,8 @@
 		abort(forwarding, commands);
 		Problem problem = (forwarding.runs() > 0)
 				? Problem.failed(ProblemKind.DEADLINE_EXCEEDED, "The deadline passed before the answer was complete.")
-				: AttemptProblems.notRun("The deadline passed before an instance ran the request.");
+				: AttemptProblems.notRun("The deadline passed before an instance ran the request.",
+						OptionalLong.empty());
 		fail(forwarding, problem, nowNanos, commands);
 	}
 
@@ -211,9 +213,8 @@
 	 * @param commands receives the resulting commands
 	 */
 	void refused(Forwarding forwarding, String detail, long nowNanos, List<ForwardCommand> commands) {
-		fail(forwarding,
-				(forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail) : AttemptProblems.notRun(detail),
-				nowNanos, commands);
+		fail(forwarding, (forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail)
+				: AttemptProblems.notRun(detail, quietMillis(forwarding, nowNanos)), nowNanos, commands);
 	}
 
 	/**
@@ -265,9 +266,8 @@
 			}
 			return;
 		}
-		fail(forwarding,
-				(forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail + ".")
-						: AttemptProblems.notRun("No instance ran the request; last attempt: " + detail + "."),
+		fail(forwarding, (forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail + ".") : AttemptProblems
+			.notRun("No instance ran the request; last attempt: " + detail + ".", quietMillis(forwarding, nowNanos)),
 				nowNanos, commands);
 	}
 
@@ -279,6 +279,10 @@
 		end(forwarding, nowNanos, commands);
 	}
 
+	private OptionalLong quietMillis(Forwarding forwarding, long nowNanos) {
+		return this.state.fleet().quietMillis(forwarding.service(), nowNanos);
+	}
+
 	private void end(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		this.dispatcher.releaseAttempt(forwarding, nowNanos, commands);
 		this.state.remove(forwarding);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -174,8 +174,8 @@
 	private boolean deadlineUnreachable(Forwarding forwarding, long nowNanos) {
 		Optional<EngineModel> engine = forwarding.service().engine();
 		long promptTokens = forwarding.request().tokens().orElse(NO_TOKENS).promptTokens();
-		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens,
-				this.state.fleet().acceptingCount(forwarding.service())) >= forwarding.remainingMillis(nowNanos);
+		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens, this.state.fleet()
+			.acceptingCount(forwarding.service(), nowNanos)) >= forwarding.remainingMillis(nowNanos);
 	}
 
 	private Optional<PlacementPlan> plan(Forwarding forwarding, long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -35,6 +35,8 @@
 
 	private final CrashRules crashes;
 
+	private final NoticeRules notices;
+
 	private boolean draining;
 
 	/**
@@ -49,6 +51,7 @@
 		this.dispatcher = new Dispatcher(this.state);
 		this.attempts = new AttemptRules(this.state, this.dispatcher);
 		this.crashes = new CrashRules(this.state, this.attempts);
+		this.notices = new NoticeRules(this.state);
 		registerRequests();
 		registerFleet();
 		this.events.covering(ForwardEvent.class);
@@ -63,6 +66,7 @@
 	public List<ForwardCommand> decide(ForwardEvent event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
 		this.crashes.applyChanges(nowNanos, commands);
+		commands.removeIf((command) -> !this.notices.permits(command, nowNanos));
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
 		}
@@ -110,6 +114,7 @@
 		UpstreamFleet fleet = this.state.fleet();
 		this.events.on(ConfigurationApplied.class, (event, now) -> configure(event.configuration()))
 			.on(InstancesChanged.class, (event, now) -> changed(() -> fleet.update(event.instances(), now)))
+			.on(InstanceNoticed.class, this.notices::noticed)
 			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
 			.on(PeerLoadStarted.class,
 					(event, now) -> changed(
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -211,6 +211,13 @@
 		this.avoidUntilNanos = Math.max(this.avoidUntilNanos, nowNanos + AVOID_NANOS / 2);
 	}
 
+	/**
+	 * Admits one request at a time, after a time without requests, until one completes.
+	 */
+	void rampUp() {
+		this.failures = Math.max(1, this.failures);
+	}
+
 	void succeeded() {
 		this.failures = 0;
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -14,6 +15,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.ServiceLimits;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.notice.InstanceNotices;
 
 /**
  * The registered instances and the work that all daemons have placed on them.
@@ -32,6 +34,8 @@
 
 	private final Map<String, Set<String>> keysByHost = new HashMap<>();
 
+	private final InstanceNotices notices = new InstanceNotices();
+
 	private Set<String> evacuated = Set.of();
 
 	private int daemons = 1;
@@ -95,7 +99,8 @@
 		double coldShare = service.coldPerSecond() / this.daemons;
 		for (InstanceLoad load : this.instances.values()) {
 			UpstreamInstance instance = load.instance();
-			if (!instance.service().equals(service.name()) || !acceptsWork(load) || excluded.contains(instance.id())
+			if (!instance.service().equals(service.name()) || !acceptsWork(load, nowNanos)
+					|| excluded.contains(instance.id())
 					|| (service.coldPerSecond() > 0 && load.coldLimitReached(coldShare, nowNanos))) {
 				continue;
 			}
@@ -109,24 +114,62 @@
 	/**
 	 * Returns whether an instance is registered and accepts new work.
 	 * @param load the instance
+	 * @param nowNanos the time on the monotonic clock
 	 * @return true if it does
 	 */
-	boolean acceptsWork(InstanceLoad load) {
+	boolean acceptsWork(InstanceLoad load, long nowNanos) {
+		return stays(load) && nowNanos >= this.notices.quietUntilNanos(load.instance());
+	}
+
+	/**
+	 * Returns whether all instances of a plan accept new work.
+	 * @param plan the plan
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if they do
+	 */
+	boolean acceptsWork(PlacementPlan plan, long nowNanos) {
+		return acceptsWork(plan.primary(), nowNanos)
+				&& plan.helpers().stream().allMatch((helper) -> acceptsWork(helper.load(), nowNanos));
+	}
+
+	private boolean stays(InstanceLoad load) {
 		UpstreamInstance instance = load.instance();
-		return this.instances.get(instance.id()) == load && !instance.draining()
+		return this.instances.get(instance.id()) == load && !instance.draining() && !this.notices.leaving(instance)
 				&& !this.evacuated.contains(instance.failureDomain());
 	}
 
+	InstanceNotices notices() {
+		return this.notices;
+	}
+
+	/**
+	 * Returns how long all instances of a service that stay want no requests.
+	 * @param service the service
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in milliseconds until the first of them accepts work, empty if one
+	 * accepts work or none stays
+	 */
+	OptionalLong quietMillis(ServiceLimits service, long nowNanos) {
+		OptionalLong untilNanos = this.instances.values()
+			.stream()
+			.filter((load) -> load.instance().service().equals(service.name()) && stays(load))
+			.mapToLong((load) -> this.notices.quietUntilNanos(load.instance()))
+			.min();
+		return (untilNanos.isEmpty() || untilNanos.getAsLong() <= nowNanos) ? OptionalLong.empty()
+				: OptionalLong.of(Math.max(1, Millis.ofNanos(untilNanos.getAsLong() - nowNanos)));
+	}
+
 	/**
 	 * Counts the registered instances of a service that accept new work, including
 	 * recently failed ones.
 	 * @param service the service
+	 * @param nowNanos the time on the monotonic clock
 	 * @return the number
 	 */
-	int acceptingCount(ServiceLimits service) {
+	int acceptingCount(ServiceLimits service, long nowNanos) {
 		return (int) this.instances.values()
 			.stream()
-			.filter((load) -> load.instance().service().equals(service.name()) && acceptsWork(load))
+			.filter((load) -> load.instance().service().equals(service.name()) && acceptsWork(load, nowNanos))
 			.count();
 	}
 
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/CallCodec.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/CallCodec.java
@@ -4,6 +4,7 @@
 import org.rattanhead.client.HttpHead;
 import org.rattanhead.core.forward.AnswerHead;
 import org.rattanhead.core.forward.ForwardCall;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.decision.forward.Ticket;
 
 /**
@@ -26,6 +27,14 @@
 	 */
 	AnswerHead decode(HttpHead head, ForwardCall call);
 
+	/**
+	 * Decodes what the instance says of itself in the head of any answer, of calls and of
+	 * orders.
+	 * @param head status and header fields
+	 * @return the notice, {@link ServerNotice#NONE} if there is none
+	 */
+	ServerNotice notice(HttpHead head);
+
 	/**
 	 * Encodes an order that reserves memory.
 	 * @param ticket the reservation
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -2,22 +2,26 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.client.ConnectPolicy;
 import org.rattanhead.client.HttpClient;
+import org.rattanhead.client.HttpHead;
 import org.rattanhead.client.HttpReply;
 import org.rattanhead.client.OngoingCall;
 import org.rattanhead.core.HandlerTable;
 import org.rattanhead.core.forward.AttemptFault;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.request.AttemptId;
 import org.rattanhead.decision.forward.AbortAttempt;
 import org.rattanhead.decision.forward.AttemptFailed;
 import org.rattanhead.decision.forward.CallInstance;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.GrantBytes;
+import org.rattanhead.decision.forward.InstanceNoticed;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReserveTicket;
 import org.rattanhead.decision.forward.TicketOutcome;
@@ -159,11 +163,21 @@
 				LOGGER.info("upstream: reservation order of ticket {} ended with {}; {}", task.ticket().name(), outcome,
 						(reply != null) ? "status " + reply.status() : failure.getMessage());
 			}
+			if (reply != null) {
+				offerNotice(task.ticket().instance(), reply.head());
+			}
 			this.decisions.offer(new TicketReplied(task.ticket(), outcome), Urgency.CONTROL);
 		});
 		return true;
 	}
 
+	private void offerNotice(String instance, HttpHead head) {
+		ServerNotice notice = this.codec.notice(head);
+		if (!notice.equals(ServerNotice.NONE)) {
+			this.decisions.offer(new InstanceNoticed(instance, OptionalLong.empty(), notice), Urgency.CONTROL);
+		}
+	}
+
 	private static TicketOutcome outcome(HttpReply reply, boolean release) {
 		if (reply.status() == OK) {
 			return release ? TicketOutcome.RELEASED : TicketOutcome.GRANTED;
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
@@ -1,17 +1,21 @@
 package org.rattanhead.upstream.forward;
 
+import java.util.OptionalLong;
+
 import org.rattanhead.client.CallFailure;
 import org.rattanhead.client.HttpHead;
 import org.rattanhead.client.ReplyObserver;
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.AttemptFault;
 import org.rattanhead.core.forward.ForwardCall;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.decision.forward.AttemptAnswered;
 import org.rattanhead.decision.forward.AttemptContinued;
 import org.rattanhead.decision.forward.AttemptFailed;
 import org.rattanhead.decision.forward.AttemptFinished;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.GrantBytes;
+import org.rattanhead.decision.forward.InstanceNoticed;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
 
@@ -38,6 +42,11 @@
 
 	@Override
 	public void onHead(HttpHead head) {
+		ServerNotice notice = this.codec.notice(head);
+		if (!notice.equals(ServerNotice.NONE)) {
+			this.decisions.offer(new InstanceNoticed(this.call.instance().id(),
+					OptionalLong.of(this.call.instance().incarnation()), notice), Urgency.CONTROL);
+		}
 		this.decisions.offer(new AttemptAnswered(this.call.attempt(), this.codec.decode(head, this.call)),
 				Urgency.CONTROL);
 	}
