--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/OwnedResources.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/OwnedResources.java
@@ -7,7 +7,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * The closeable components of a daemon, closed in the reverse order of their start.
+ * The closeable components of a daemon, closed in the reverse order of their start. Safe
+ * for use by several threads.
  */
 public final class OwnedResources implements AutoCloseable {
 
@@ -21,13 +22,13 @@
 	 * @param resource the resource
 	 * @return the resource
 	 */
-	public <T extends AutoCloseable> T own(T resource) {
+	public synchronized <T extends AutoCloseable> T own(T resource) {
 		this.resources.push(resource);
 		return resource;
 	}
 
 	@Override
-	public void close() {
+	public synchronized void close() {
 		while (!this.resources.isEmpty()) {
 			AutoCloseable resource = this.resources.pop();
 			try {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
@@ -1,10 +1,10 @@
 package org.rattanhead.decision.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.PayloadBuffer;
 import org.rattanhead.core.forward.AnswerHead;
 import org.rattanhead.core.request.RequestId;
 
@@ -26,7 +26,7 @@
 
 	private final ReplyFlow flow = new ReplyFlow();
 
-	private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+	private final PayloadBuffer buffered = new PayloadBuffer();
 
 	private AnswerHead head;
 
@@ -59,7 +59,7 @@
 	}
 
 	void head(AnswerHead newHead) {
-		this.buffered.reset();
+		this.buffered.clear();
 		this.flow.attemptBegan();
 		this.splitter.discardRemainder();
 		if (!this.started) {
@@ -86,9 +86,9 @@
 			send(bytes, commands);
 			return true;
 		}
-		this.buffered.writeBytes(bytes.bytes());
-		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
-			send(takeBuffered(), commands);
+		this.buffered.append(bytes);
+		if (this.buffered.length() > MAX_BUFFERED_BYTES) {
+			send(this.buffered.take(this.buffered.length()), commands);
 		}
 		return true;
 	}
@@ -108,8 +108,8 @@
 		}
 		if (!this.started) {
 			this.started = true;
-			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), this.buffered.size()));
-			commands.add(new ContinueReply(this.request, takeBuffered()));
+			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), this.buffered.length()));
+			commands.add(new ContinueReply(this.request, this.buffered.take(this.buffered.length())));
 		}
 		commands.add(new FinishReply(this.request));
 		return true;
@@ -124,10 +124,4 @@
 		commands.add(new ContinueReply(this.request, bytes));
 	}
 
-	private Payload takeBuffered() {
-		Payload taken = new Payload(this.buffered.toByteArray());
-		this.buffered.reset();
-		return taken;
-	}
-
 }
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
@@ -1,9 +1,9 @@
 package org.rattanhead.server;
 
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.Executor;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.PayloadBuffer;
 import org.rattanhead.core.TurnQueue;
 
 /**
@@ -30,7 +30,7 @@
 
 	private Runnable head = NOTHING;
 
-	private ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final PayloadBuffer body = new PayloadBuffer();
 
 	private Runnable end = NOTHING;
 
@@ -65,11 +65,11 @@
 	 */
 	public void write(Payload bytes) {
 		synchronized (this) {
-			if (this.body.size() + bytes.length() > MAX_WAITING_BYTES) {
+			if (this.body.length() + bytes.length() > MAX_WAITING_BYTES) {
 				this.end = this.writer::abort;
 			}
 			else {
-				this.body.writeBytes(bytes.bytes());
+				this.body.append(bytes);
 			}
 		}
 		schedule();
@@ -104,13 +104,12 @@
 		Runnable newEnd;
 		boolean bulk;
 		synchronized (this) {
-			bulk = this.body.size() >= BULK_BYTES;
+			bulk = this.body.length() >= BULK_BYTES;
 			this.scheduled = bulk;
 			newHead = this.head;
-			newBody = (this.body.size() > 0) ? new Payload(this.body.toByteArray()) : Payload.EMPTY;
+			newBody = this.body.take(this.body.length());
 			newEnd = this.end;
 			this.head = NOTHING;
-			this.body = new ByteArrayOutputStream();
 			this.end = NOTHING;
 		}
 		newHead.run();
