Tell the other daemons what instances say of themselves

A daemon learned that an instance leaves or wants quiet from its own answers only. One datagram for each change tells the others: leaving binds them too, a quiet time makes them prefer other instances.

MeshNetworkTests.deliversNotice and ServerNoticeTests (heedsNoticeOfPeer, tellsPeersOnce) are new and pass.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -16,6 +16,7 @@
 import org.rattanhead.decision.forward.PublishHeartbeat;
 import org.rattanhead.decision.forward.PublishLoadEnded;
 import org.rattanhead.decision.forward.PublishLoadStarted;
+import org.rattanhead.decision.forward.PublishNotice;
 import org.rattanhead.decision.forward.RefuseRequest;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReserveTicket;
@@ -49,6 +50,7 @@
 			.on(PublishLoadEnded.class, (command, now) -> done(() -> mesh.offer(new SendLoadEnded(command))))
 			.on(PublishHeartbeat.class, (command, now) -> done(() -> mesh.offer(new SendHeartbeat(command))))
 			.on(PublishCrashes.class, (command, now) -> done(() -> mesh.offer(new SendCrashes(command))))
+			.on(PublishNotice.class, (command, now) -> done(() -> mesh.offer(new SendNotice(command))))
 			.on(StoreSuspect.class,
 					(command, now) -> done(
 							() -> records.put(SuspectRecordCodec.key(command.suspect()), SuspectRecordCodec.BLOCKED)))
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -14,6 +14,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.PeerCountChanged;
@@ -21,6 +22,7 @@
 import org.rattanhead.decision.forward.PeerHeartbeatReceived;
 import org.rattanhead.decision.forward.PeerLoadEnded;
 import org.rattanhead.decision.forward.PeerLoadStarted;
+import org.rattanhead.decision.forward.PeerNoticeReceived;
 import org.rattanhead.decision.forward.PeerUnresponsive;
 import org.rattanhead.decision.forward.PublishHeartbeat;
 import org.rattanhead.decision.register.MemberTable;
@@ -71,31 +73,12 @@
 		this.decisions = decisions;
 		this.followers = followers;
 		this.table = new MemberTable(self);
-		HandlerTable<MeshEvent, Boolean> handlers = new HandlerTable<MeshEvent, Boolean>()
-			.on(MemberAnnounced.class, (event, now) -> {
-				this.table.add(event.member(), now);
-				return true;
-			})
+		HandlerTable<MeshEvent, Boolean> handlers = sendHandlers().on(MemberAnnounced.class, (event, now) -> {
+			this.table.add(event.member(), now);
+			return true;
+		})
 			.on(HeartbeatReceived.class, (event, now) -> receiveHeartbeat(event.heartbeat(), now))
 			.on(SendHeartbeat.class, (event, now) -> heartbeatDue(event, now))
-			.on(SendLoadStarted.class, (event, now) -> {
-				network().sendLoadStarted(this.table.loadRecipients(), event.command().entries());
-				return true;
-			})
-			.on(SendLoadEnded.class, (event, now) -> {
-				network().sendLoadEnded(this.table.loadRecipients(), event.command().keys());
-				return true;
-			})
-			.on(SendCrashes.class, (event, now) -> {
-				network().sendCrashes(this.table.loadRecipients(), event.command().reports());
-				return true;
-			})
-			.on(SendStreamUpdate.class, (event, now) -> {
-				if (this.serving) {
-					network().sendStreamUpdate(this.table.recipients(), event.update());
-				}
-				return this.serving;
-			})
 			.on(StreamUpdateReceived.class, (event, now) -> {
 				this.followers.receiveUpdate(this.table.readsFor(event.host(), this.serving), event.update());
 				return true;
@@ -105,6 +88,28 @@
 		this.duty = new Duty<>("mesh", RING_SLOTS, System::nanoTime, handlers::handle);
 	}
 
+	private HandlerTable<MeshEvent, Boolean> sendHandlers() {
+		return new HandlerTable<MeshEvent, Boolean>().on(SendLoadStarted.class, (event, now) -> {
+			network().sendLoadStarted(this.table.loadRecipients(), event.command().entries());
+			return true;
+		}).on(SendLoadEnded.class, (event, now) -> {
+			network().sendLoadEnded(this.table.loadRecipients(), event.command().keys());
+			return true;
+		}).on(SendCrashes.class, (event, now) -> {
+			network().sendCrashes(this.table.loadRecipients(), event.command().reports());
+			return true;
+		}).on(SendNotice.class, (event, now) -> {
+			network().sendNotice(this.table.loadRecipients(), event.command().instance(), event.command().incarnation(),
+					event.command().notice());
+			return true;
+		}).on(SendStreamUpdate.class, (event, now) -> {
+			if (this.serving) {
+				network().sendStreamUpdate(this.table.recipients(), event.update());
+			}
+			return this.serving;
+		});
+	}
+
 	void offer(MeshEvent event) {
 		this.duty.offer(event, Urgency.STREAM);
 	}
@@ -130,6 +135,11 @@
 		this.decisions.offer(new PeerCrashesReceived(reports), Urgency.CONTROL);
 	}
 
+	@Override
+	public void onNotice(String instance, long incarnation, ServerNotice notice) {
+		this.decisions.offer(new PeerNoticeReceived(instance, incarnation, notice), Urgency.CONTROL);
+	}
+
 	@Override
 	public void onStreamUpdate(String host, StreamUpdate update) {
 		offer(new StreamUpdateReceived(host, update));
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshEvent.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshEvent.java
@@ -4,6 +4,6 @@
  * An event that {@link MeshDuty} handles.
  */
 sealed interface MeshEvent permits MemberAnnounced, HeartbeatReceived, SendHeartbeat, SendLoadStarted, SendLoadEnded,
-		SendStreamUpdate, StreamUpdateReceived, SendCrashes {
+		SendStreamUpdate, StreamUpdateReceived, SendCrashes, SendNotice {
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -115,6 +115,7 @@
 		this.events.on(ConfigurationApplied.class, (event, now) -> configure(event.configuration()))
 			.on(InstancesChanged.class, (event, now) -> changed(() -> fleet.update(event.instances(), now)))
 			.on(InstanceNoticed.class, this.notices::noticed)
+			.on(PeerNoticeReceived.class, this.notices::receivedFromPeer)
 			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
 			.on(PeerLoadStarted.class,
 					(event, now) -> changed(
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -211,6 +211,10 @@
 		this.avoidUntilNanos = Math.max(this.avoidUntilNanos, nowNanos + AVOID_NANOS / 2);
 	}
 
+	void avoidUntil(long nanos) {
+		this.avoidUntilNanos = Math.max(this.avoidUntilNanos, nanos);
+	}
+
 	/**
 	 * Admits one request at a time, after a time without requests, until one completes.
 	 */
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/NoticeRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/NoticeRules.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import org.rattanhead.core.Millis;
+import org.rattanhead.core.forward.ServerNotice;
 
 /**
  * Acts on what instances say of themselves in their answers.
@@ -13,7 +13,7 @@
 final class NoticeRules {
 
 	/** Longer times end with the incarnation. */
-	private static final long MAX_QUIET_MILLIS = TimeUnit.DAYS.toMillis(30);
+	private static final long MAX_QUIET_MILLIS = 30L * 24 * 60 * 60 * 1_000;
 
 	/** Spreads the first requests of several daemons after a quiet time. */
 	private static final double SPREAD_SHARE = 0.125;
@@ -38,19 +38,45 @@
 		long current = load.map((found) -> found.instance().incarnation()).orElse(Long.MIN_VALUE);
 		long incarnation = event.incarnation().orElse(current);
 		if (event.notice().leaving() && this.state.fleet().notices().leaves(event.instance(), incarnation)) {
-			commands.add(log("instance-leaving", event, incarnation));
+			commands
+				.add(log("instance-leaving", event.instance(), incarnation, event.notice(), "said so in an answer"));
 		}
 		if (event.notice().quietMillis() > 0) {
 			long quietMillis = Math.min(MAX_QUIET_MILLIS, event.notice().quietMillis());
 			long untilNanos = nowNanos + Millis.toNanos(quietMillis + spreadMillis(quietMillis));
 			if (this.state.fleet().notices().quiet(event.instance(), incarnation, untilNanos)) {
 				load.filter((found) -> found.instance().incarnation() == incarnation).ifPresent(InstanceLoad::rampUp);
-				commands.add(log("instance-quiet", event, incarnation));
+				commands
+					.add(log("instance-quiet", event.instance(), incarnation, event.notice(), "said so in an answer"));
 			}
 		}
+		if (!commands.isEmpty()) {
+			commands.add(new PublishNotice(event.instance(), incarnation, event.notice()));
+		}
 		return commands;
 	}
 
+	/**
+	 * Records a notice that another daemon received. Leaving binds here too; a time
+	 * without requests binds only the daemon that was asked for it, and the others prefer
+	 * other instances.
+	 * @param event the notice
+	 * @param nowNanos the time on the monotonic clock
+	 * @return a log entry for each change
+	 */
+	List<ForwardCommand> receivedFromPeer(PeerNoticeReceived event, long nowNanos) {
+		long quietMillis = Math.min(MAX_QUIET_MILLIS, event.notice().quietMillis());
+		this.state.fleet()
+			.find(event.instance())
+			.filter((load) -> quietMillis > 0 && load.instance().incarnation() == event.incarnation())
+			.ifPresent((load) -> load.avoidUntil(nowNanos + Millis.toNanos(quietMillis)));
+		if (event.notice().leaving() && this.state.fleet().notices().leaves(event.instance(), event.incarnation())) {
+			return List.of(log("instance-leaving", event.instance(), event.incarnation(), event.notice(),
+					"reported by a peer"));
+		}
+		return List.of();
+	}
+
 	/**
 	 * Returns whether a command may be executed: orders to an instance that wants no
 	 * requests are left out, since its reservations expire by themselves.
@@ -76,10 +102,10 @@
 		return Math.round(this.state.random().nextDouble() * Math.min(MAX_SPREAD_MILLIS, SPREAD_SHARE * quietMillis));
 	}
 
-	private static LogDecision log(String decision, InstanceNoticed event, long incarnation) {
-		return new LogDecision(decision, "", "", event.instance(), "said so in an answer",
-				List.of(DecisionInput.of("incarnation", incarnation),
-						DecisionInput.of("for_ms", event.notice().quietMillis())));
+	private static LogDecision log(String decision, String instance, long incarnation, ServerNotice notice,
+			String source) {
+		return new LogDecision(decision, "", "", instance, source, List.of(DecisionInput.of("incarnation", incarnation),
+				DecisionInput.of("for_ms", notice.quietMillis())));
 	}
 
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ServerNoticeTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ServerNoticeTests.java
@@ -92,6 +92,32 @@
 		assertThat(rig.all(CallInstance.class)).anyMatch(ServerNoticeTests::toFirst);
 	}
 
+	@ParameterizedTest(name = "leaving: {0}, quiet for {1} ms, {2} instances")
+	@CsvSource({ "true, 0, 2", "false, 700, 2", "false, 3000, 2", "false, 3000, 1" })
+	void heedsNoticeOfPeer(boolean leaving, long quietMillis, int instances) {
+		ForwardRig rig = ForwardRig.configured(0, instances);
+		rig.handle(new PeerNoticeReceived("o0", 1, new ServerNotice(leaving, quietMillis)));
+		for (int call = 0; call < 10; call++) {
+			answer(rig, rig.submit("/look/"));
+		}
+		boolean onlyOne = instances == 1;
+		assertThat(rig.all(CallInstance.class)).as("a peer's quiet time does not bind, but is heeded")
+			.hasSize(10)
+			.allMatch((call) -> toFirst(call) == onlyOne);
+		assertThat(rig.all(PublishNotice.class)).isEmpty();
+	}
+
+	/** Guards against a datagram for each answer of an instance that leaves. */
+	@ParameterizedTest(name = "{0} answers")
+	@ValueSource(ints = { 1, 50 })
+	void tellsPeersOnce(int answers) {
+		ForwardRig rig = ForwardRig.configured(0, 2);
+		for (int answer = 0; answer < answers; answer++) {
+			rig.handle(new InstanceNoticed("o0", OptionalLong.of(1), LEAVING));
+		}
+		assertThat(rig.all(PublishNotice.class)).hasSize(1);
+	}
+
 	/** Guards against a quiet time that ends with all waiting work at once. */
 	@ParameterizedTest(name = "{0} requests")
 	@ValueSource(ints = { 5, 30 })
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -12,6 +12,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
@@ -22,6 +23,7 @@
 import org.rattanhead.messages.MeshLoadEnded;
 import org.rattanhead.messages.MeshLoadStarted;
 import org.rattanhead.messages.MeshMember;
+import org.rattanhead.messages.MeshNotice;
 import org.rattanhead.messages.MeshRecord;
 import org.rattanhead.messages.MeshRecords;
 import org.rattanhead.messages.MeshStreamNews;
@@ -94,6 +96,25 @@
 		return MeshDatagram.newBuilder().setHost(host).setCrashes(builder).build();
 	}
 
+	/**
+	 * Encodes what an instance said of itself.
+	 * @param host the host of the sender
+	 * @param instance the id of the instance
+	 * @param incarnation the incarnation that said it
+	 * @param notice what it said
+	 * @return the datagram
+	 */
+	public static MeshDatagram encodeNotice(String host, String instance, long incarnation, ServerNotice notice) {
+		return MeshDatagram.newBuilder()
+			.setHost(host)
+			.setNotice(MeshNotice.newBuilder()
+				.setInstance(instance)
+				.setIncarnation(incarnation)
+				.setLeaving(notice.leaving())
+				.setQuietMillis(notice.quietMillis()))
+			.build();
+	}
+
 	/**
 	 * Encodes an update of a stream.
 	 * @param host the host of the sender
@@ -131,6 +152,7 @@
 			case LOAD_ENDED ->
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
 			case CRASHES -> listener.onCrashes(CrashReportCodec.decode(datagram.getCrashes().getCrashesList()));
+			case NOTICE -> deliver(datagram.getNotice(), listener);
 			case STREAM_NEWS -> deliver(datagram.getHost(), datagram.getStreamNews(), listener);
 			default -> {
 				// Body of a later version.
@@ -138,6 +160,11 @@
 		}
 	}
 
+	private static void deliver(MeshNotice message, MeshListener listener) {
+		listener.onNotice(message.getInstance(), message.getIncarnation(),
+				new ServerNotice(message.getLeaving(), message.getQuietMillis()));
+	}
+
 	private static MemberHeartbeat decode(String host, MeshBeat message) {
 		Member member = new Member(host, message.getStartedMillis(), message.getCallersAddress(),
 				message.getMeshAddress(), message.getProcessorMillicores());
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
@@ -5,6 +5,7 @@
 import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.MemberHeartbeat;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.StreamUpdate;
 
 /**
@@ -39,6 +40,14 @@
 	 */
 	void onCrashes(List<CrashReport> reports);
 
+	/**
+	 * Another daemon sent what an instance said of itself in an answer to it.
+	 * @param instance the id of the instance
+	 * @param incarnation the incarnation that said it
+	 * @param notice what it said
+	 */
+	void onNotice(String instance, long incarnation, ServerNotice notice);
+
 	/**
 	 * Another daemon read a stream of the platform to its end.
 	 * @param host the host name of the sending daemon
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -26,6 +26,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.host.HostAddress;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
@@ -105,6 +106,17 @@
 		send(receivers, MeshCodec.encodeLoadEnded(this.self, keys));
 	}
 
+	/**
+	 * Sends what an instance said of itself.
+	 * @param receivers the daemons
+	 * @param instance the id of the instance
+	 * @param incarnation the incarnation that said it
+	 * @param notice what it said
+	 */
+	public void sendNotice(List<Member> receivers, String instance, long incarnation, ServerNotice notice) {
+		send(receivers, MeshCodec.encodeNotice(this.self, instance, incarnation, notice));
+	}
+
 	/**
 	 * Sends the crashes and answers of suspects.
 	 * @param receivers the daemons to send them to
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -24,6 +24,7 @@
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ReportedCrash;
+import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
@@ -61,6 +62,11 @@
 			MeshNetworkTests.this.received.add(reports);
 		}
 
+		@Override
+		public void onNotice(String instance, long incarnation, ServerNotice notice) {
+			MeshNetworkTests.this.received.add(List.of(instance, incarnation, notice));
+		}
+
 		@Override
 		public void onStreamUpdate(String host, StreamUpdate update) {
 			MeshNetworkTests.this.received.add(update);
@@ -91,6 +97,18 @@
 		}
 	}
 
+	@ParameterizedTest(name = "{0}, leaving: {2}, quiet for {3} ms")
+	@CsvSource({ "i-1, 7, true, 0", "i-1, 0, false, 700", "i-2, 1796481790273, true, 20000" })
+	void deliversNotice(String instance, long incarnation, boolean leaving, long quietMillis) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		ServerNotice notice = new ServerNotice(leaving, quietMillis);
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.sendNotice(List.of(member), instance, incarnation, notice);
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of(instance, incarnation, notice));
+		}
+	}
+
 	@ParameterizedTest(name = "update of {0}, {1} records of {2} bytes")
 	@CsvSource({ "OPERATORS, 0, 0", "OPERATORS, 1, 0", "INSTANCES, 2, 1", "MEMBERS, 9, 1", "OPERATORS, 1, 30000" })
 	void deliversStreamUpdate(KeyedStream stream, int count, int bytes) throws Exception {
