Measure server notices with separate processes and draw them in the soak

The soak lets instances leave, start again and ask for time, from a generator of its own, so that the faults of existing seeds stay.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -103,10 +103,24 @@
 	 * @param state ready or draining
 	 */
 	public static void register(StoreStandin store, int index, InetSocketAddress address, String state) {
-		store.put(INSTANCES, "i-" + index,
-				("{'Service':'s','Address':'127.0.0.1:" + address.getPort() + "','Zone':'z','Slots':8,'State':'" + state
-						+ "','ColdRemainingMs':0,'Sequence':1,'born':1}")
-					.replace('\'', '"'));
+		register(store, index, address, state, 1);
+	}
+
+	/**
+	 * Registers an incarnation of an instance.
+	 * @param store the store
+	 * @param index the index of the instance
+	 * @param address where it listens
+	 * @param state ready or draining
+	 * @param incarnation grows with each start
+	 */
+	public static void register(StoreStandin store, int index, InetSocketAddress address, String state,
+			long incarnation) {
+		store
+			.put(INSTANCES, "i-" + index,
+					("{'Service':'s','Address':'127.0.0.1:" + address.getPort() + "','Zone':'z','Slots':8,'State':'"
+							+ state + "','ColdRemainingMs':0,'Sequence':1,'born':" + incarnation + "}")
+						.replace('\'', '"'));
 	}
 
 	void configure(long version, String moreRoutes) {
--- /dev/null
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/NoticeLoad.java
@@ -0,0 +1,89 @@
+package org.rattanhead.daemon.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Callers of several gateways, each with one request at a time, of all kinds of routes in
+ * turn. The id of an attempt begins with the name of its gateway.
+ */
+final class NoticeLoad {
+
+	private static final List<String> PATHS = List.of("/look/a", "/order/a", "/ask/a");
+
+	private static final long PAUSE_MILLIS = 40;
+
+	private final List<GatewayProcess> gateways;
+
+	private final int callersPerGateway;
+
+	private final AtomicLong sent = new AtomicLong();
+
+	private final AtomicLong served = new AtomicLong();
+
+	NoticeLoad(List<GatewayProcess> gateways, int callersPerGateway) {
+		this.gateways = gateways;
+		this.callersPerGateway = callersPerGateway;
+	}
+
+	long sent() {
+		return this.sent.get();
+	}
+
+	double servedShare() {
+		return this.served.get() / (double) this.sent.get();
+	}
+
+	void awaitServed() throws InterruptedException {
+		for (int gateway = 0; gateway < this.gateways.size(); gateway++) {
+			int index = gateway;
+			GatewayRig.await(() -> call(index, "/look/a", "w"));
+		}
+	}
+
+	void run(long millis) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+		List<Thread> callers = new ArrayList<>();
+		for (int gateway = 0; gateway < this.gateways.size(); gateway++) {
+			for (int caller = 0; caller < this.callersPerGateway; caller++) {
+				int index = gateway;
+				String name = "c" + caller;
+				callers.add(new Thread(() -> callUntil(endNanos, index, name), "notice-caller"));
+			}
+		}
+		callers.forEach(Thread::start);
+		for (Thread caller : callers) {
+			caller.join();
+		}
+	}
+
+	private void callUntil(long endNanos, int gateway, String name) {
+		for (int call = 0; System.nanoTime() < endNanos; call++) {
+			boolean answered = call(gateway, PATHS.get(call % PATHS.size()), name + "-" + call);
+			this.sent.incrementAndGet();
+			this.served.addAndGet(answered ? 1 : 0);
+			try {
+				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	private boolean call(int gateway, String path, String name) {
+		try (RawCaller caller = new RawCaller(this.gateways.get(gateway).callersAddress())) {
+			return caller.send(RawCaller.request("POST", path, "g" + gateway + "-" + name, "body"))
+				.answer()
+				.startsWith("HTTP/1.1 200");
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakFleet.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakFleet.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
@@ -32,11 +34,18 @@
 
 	private final AtomicLong version = new AtomicLong();
 
+	/** What each instance says of itself in its answers, as a header field. */
+	private final Map<Integer, String> notices = new ConcurrentHashMap<>();
+
+	private final Map<Integer, Long> incarnations = new ConcurrentHashMap<>();
+
 	SoakFleet(Path folder, int gatewayCount, int instanceCount, SoakLedger ledger, RandomGenerator random)
 			throws IOException {
 		configure();
 		for (int index = 0; index < instanceCount; index++) {
-			RawServer instance = new RawServer((request) -> ledger.serve(request, random));
+			int self = index;
+			RawServer instance = new RawServer(
+					(request) -> ledger.serve(request, random, this.notices.getOrDefault(self, "")));
 			this.instances.add(instance);
 			GatewayRig.register(this.store, index, link(instance.address()).address(), "ready");
 		}
@@ -49,6 +58,24 @@
 		return this.gateways.get(random.nextInt(this.gateways.size())).callersAddress();
 	}
 
+	int instanceCount() {
+		return this.instances.size();
+	}
+
+	void startNotice(int instance, String field) {
+		this.notices.put(instance, field);
+	}
+
+	/**
+	 * Ends the notice of an instance, which starts again.
+	 * @param instance the index of the instance
+	 */
+	void endNotice(int instance) {
+		this.notices.remove(instance);
+		this.incarnations.merge(instance, 1L, Long::sum);
+		register(instance, "ready");
+	}
+
 	/**
 	 * Draws a fault.
 	 * @param random the source of the choice
@@ -130,7 +157,8 @@
 	}
 
 	private void register(int instance, String state) {
-		GatewayRig.register(this.store, instance, this.links.get(instance).address(), state);
+		GatewayRig.register(this.store, instance, this.links.get(instance).address(), state,
+				1 + this.incarnations.getOrDefault(instance, 0L));
 	}
 
 	private void configure() {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakLedger.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakLedger.java
@@ -11,7 +11,6 @@
 
 import org.rattanhead.adapter.standin.RawAnswer;
 import org.rattanhead.adapter.standin.RawRequest;
-import org.rattanhead.daemon.gateway.GatewayRig;
 
 /**
  * Records the runs at instances and the answers to callers, and checks the guarantees
@@ -41,20 +40,23 @@
 	 * headers.
 	 * @param request the request
 	 * @param random the source of the failures
+	 * @param notice a header field in which the instance speaks of itself, empty if none
 	 * @return the answer
 	 */
-	RawAnswer serve(RawRequest request, RandomGenerator random) {
+	RawAnswer serve(RawRequest request, RandomGenerator random, String notice) {
 		String attempt = request.header("X-Attempt-Id");
 		if (!request.header("X-Tenant").equals("atelier") || !request.header("Authorization").isEmpty()) {
 			this.headerViolations
 				.add(attempt + ": reached an instance with a wrong workspace or with the key of the caller");
 		}
 		int draw = random.nextInt(100);
-		if (draw < 5) {
-			return RawAnswer.of(503, List.of("X-Attempt-Id: " + attempt, "X-Not-Executed: 1"), "");
+		if (draw < 5 || notice.startsWith("Retry-After")) {
+			return RawAnswer.of(503, fields(notice, "X-Attempt-Id: " + attempt, "X-Not-Executed: 1"), "");
 		}
 		this.runs.merge(attempt, 1, Integer::sum);
-		RawAnswer complete = GatewayRig.signed(request, body(attempt)).delayedBy(random.nextInt(MAX_DELAY_MILLIS));
+		RawAnswer complete = RawAnswer
+			.of(OK, fields(notice, "X-Attempt-Id: " + attempt, "X-Response-Signature: s"), body(attempt))
+			.delayedBy(random.nextInt(MAX_DELAY_MILLIS));
 		if (draw < 10) {
 			return complete.truncated(MISSING_BYTES);
 		}
@@ -64,6 +66,14 @@
 		return (draw < 16) ? complete.followedBy("HTTP/1.1 200 Status\r\nContent-Length: 1\r\n\r\nx") : complete;
 	}
 
+	private static List<String> fields(String notice, String... fields) {
+		List<String> all = new ArrayList<>(List.of(fields));
+		if (!notice.isEmpty()) {
+			all.add(notice);
+		}
+		return all;
+	}
+
 	void record(SoakOutcome outcome) {
 		this.outcomes.add(outcome);
 	}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/soak/SoakTests.java
@@ -68,7 +68,14 @@
 				caller.start();
 				callers.add(caller);
 			}
+			Thread notices = new Thread(new SoakNotices(fleet, new SplittableRandom(~seed), stopped));
+			notices.start();
 			injectFaults(fleet, random, faults);
+			notices.interrupt();
+			notices.join();
+			for (int index = 0; index < fleet.instanceCount(); index++) {
+				fleet.endNotice(index);
+			}
 			unrecovered = fleet.awaitRecovery(RECOVERY_TIMEOUT_MILLIS);
 			stopped.set(true);
 			for (Thread caller : callers) {
