--- a/rattanhead-client/src/test/java/org/rattanhead/client/TinyChunksTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/TinyChunksTests.java
@@ -136,11 +136,4 @@
 		});
 	}
 
-	@FunctionalInterface
-	private interface WireScript {
-
-		void send(OutputStream out) throws IOException;
-
-	}
-
 }
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessUploadTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessUploadTests.java
@@ -25,10 +25,6 @@
 
 	private static final int UPLOADS = 6;
 
-	private static final int LOOKUPS = 20;
-
-	private static final long MAX_LOOKUP_MILLIS = 1_000;
-
 	/**
 	 * Guards against CONFIG: a body of one caller that keeps the I/O thread for itself.
 	 */
@@ -36,21 +32,15 @@
 	@CsvSource({ "1", "1000", "60000" })
 	void answersOthersBesideBodiesWithoutEnd(int chunkBytes, @TempDir Path folder) throws Exception {
 		List<Socket> uploads = new ArrayList<>();
-		try (StoreStandin store = new StoreStandin();
-				RawServer sound = new RawServer((request) -> GatewayRig.signed(request, "found"))) {
+		try (StoreStandin store = new StoreStandin(); RawServer sound = new RawServer(Lookups::answer)) {
 			GatewayRig.configure(store, 1, "");
 			GatewayRig.register(store, 0, sound.address(), "ready");
 			try (GatewayProcess gateway = new GatewayProcess(folder, "self", store.server().address())) {
-				GatewayRig.await(() -> look(gateway, "first").contains("found"));
+				Lookups.awaitFirst(gateway);
 				for (int index = 0; index < UPLOADS; index++) {
 					uploads.add(startUpload(gateway, "u" + index, chunkBytes));
 				}
-				for (int index = 0; index < LOOKUPS; index++) {
-					long startNanos = System.nanoTime();
-					assertThat(look(gateway, "l" + index)).as("lookup %d", index).contains("found");
-					assertThat((System.nanoTime() - startNanos) / 1_000_000).as("lookup %d, ms", index)
-						.isLessThan(MAX_LOOKUP_MILLIS);
-				}
+				Lookups.assertAnswered(gateway);
 				assertThat(gateway.log()).doesNotContain("OutOfMemoryError");
 			}
 		}
@@ -88,13 +78,4 @@
 		}
 	}
 
-	private static String look(GatewayProcess gateway, String attempt) {
-		try (RawCaller caller = new RawCaller(gateway.callersAddress())) {
-			return caller.send(RawCaller.request("POST", "/look/" + attempt, attempt, "body")).answer();
-		}
-		catch (IOException ex) {
-			return "<" + ex.getMessage() + ">";
-		}
-	}
-
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ServerNoticeTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ServerNoticeTests.java
@@ -11,7 +11,6 @@
 import org.rattanhead.core.forward.AnswerVerdict;
 import org.rattanhead.core.forward.AttemptFault;
 import org.rattanhead.core.forward.ServerNotice;
-import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.core.problem.Execution;
 import org.rattanhead.core.request.RequestId;
 
@@ -39,7 +38,7 @@
 			rig.advance(20);
 		}
 		assertThat(rig.all(CallInstance.class).stream().anyMatch(ServerNoticeTests::toFirst))
-			.isEqualTo(later.restarted);
+			.isEqualTo(later.restarted());
 		assertThat(rig.all(LogDecision.class)).filteredOn((entry) -> entry.decision().equals("instance-leaving"))
 			.hasSize(1);
 	}
@@ -174,55 +173,4 @@
 		return call.call().instance().id().equals("o0");
 	}
 
-	/** What the store says of the instances after the notice. */
-	private enum StoreEntry {
-
-		UNCHANGED(false) {
-			@Override
-			void apply(ForwardRig rig) {
-				// The store is down, or nothing changed.
-			}
-		},
-
-		READY_AGAIN(false) {
-			@Override
-			void apply(ForwardRig rig) {
-				rig.handle(new InstancesChanged(List.of()));
-				rig.handle(new InstancesChanged(ForwardRig.instances(1, 2)));
-			}
-		},
-
-		OLDER_INCARNATION(false) {
-			@Override
-			void apply(ForwardRig rig) {
-				rig.handle(new InstancesChanged(withIncarnation(0)));
-			}
-		},
-
-		NEWER_INCARNATION(true) {
-			@Override
-			void apply(ForwardRig rig) {
-				rig.handle(new InstancesChanged(withIncarnation(2)));
-			}
-		};
-
-		private final boolean restarted;
-
-		StoreEntry(boolean restarted) {
-			this.restarted = restarted;
-		}
-
-		abstract void apply(ForwardRig rig);
-
-		private static List<UpstreamInstance> withIncarnation(long incarnation) {
-			return ForwardRig.instances(1, 2)
-				.stream()
-				.map((instance) -> new UpstreamInstance(instance.id(), instance.service(), instance.address(),
-						instance.failureDomain(), instance.slots(), instance.draining(), instance.coldRemainingMillis(),
-						instance.id().endsWith("0") ? incarnation : instance.incarnation()))
-				.toList();
-		}
-
-	}
-
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ShutdownTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ShutdownTests.java
@@ -1,14 +1,10 @@
 package org.rattanhead.decision.forward;
 
-import java.util.stream.IntStream;
-
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import org.rattanhead.core.forward.AnswerVerdict;
-import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.problem.Execution;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -18,18 +14,14 @@
  */
 class ShutdownTests {
 
-	private static final int ENGINES = 4;
-
-	private static final int STREAMS_PER_ENGINE = 6;
-
 	/**
 	 * Guards against LOST: a held prompt that gets no answer at the end of a shutdown.
 	 */
 	@ParameterizedTest(name = "stops in {0} ms")
 	@ValueSource(longs = { 500, 2_000, 4_700, 7_400 })
 	void neverHoldsPromptBeyondShutdown(long stopMillis) {
-		ForwardRig rig = ForwardRig.configured(ENGINES, 0);
-		holdPrompt(rig);
+		ForwardRig rig = ForwardRig.configured(RequestProgress.ENGINES, 0);
+		RequestProgress.HELD.prepare(rig);
 		rig.handle(new ShutdownStarted(rig.nanosIn(stopMillis)));
 		rig.advance(stopMillis);
 		boolean refused = rig.all(RefuseRequest.class).size() == 1;
@@ -54,79 +46,18 @@
 	/** Guards against LOST: a connection that is closed without a final reply. */
 	@ParameterizedTest
 	@EnumSource
-	void givesEveryRequestItsFinalReplyAtTheEnd(Progress progress) {
-		ForwardRig rig = ForwardRig.configured(ENGINES, 1);
+	void givesEveryRequestItsFinalReplyAtTheEnd(RequestProgress progress) {
+		ForwardRig rig = ForwardRig.configured(RequestProgress.ENGINES, 1);
 		progress.prepare(rig);
 		rig.handle(new GraceEnded());
-		assertThat(rig.all(AbortReply.class)).hasSize((progress == Progress.STREAMING) ? 1 : 0);
-		assertThat(rig.all(RefuseRequest.class)).hasSize((progress == Progress.STREAMING) ? 0 : 1);
+		assertThat(rig.all(AbortReply.class)).hasSize((progress == RequestProgress.STREAMING) ? 1 : 0);
+		assertThat(rig.all(RefuseRequest.class)).hasSize((progress == RequestProgress.STREAMING) ? 0 : 1);
 		rig.all(RefuseRequest.class)
-			.forEach((reply) -> assertThat(reply.problem().execution()).isEqualTo(progress.execution));
-		assertThat(rig.all(AbortAttempt.class)).hasSize((progress == Progress.HELD) ? 0 : 1);
+			.forEach((reply) -> assertThat(reply.problem().execution()).isEqualTo(progress.execution()));
+		assertThat(rig.all(AbortAttempt.class)).hasSize((progress == RequestProgress.HELD) ? 0 : 1);
 		assertThat(rig.all(ForwardDrained.class)).isNotEmpty();
 		rig.submit("/look/");
 		assertThat(rig.last(RefuseRequest.class).problem().execution()).isEqualTo(Execution.NOT_RUN);
 	}
 
-	/** Submits a prompt that waits, since every engine writes streams of a peer. */
-	private static void holdPrompt(ForwardRig rig) {
-		rig.handle(new PeerLoadStarted("peer",
-				IntStream.range(0, ENGINES * STREAMS_PER_ENGINE)
-					.mapToObj((index) -> new LoadEntry("p" + index, "e" + index % ENGINES, 6_000, 0, 250, 1.4, 9_000))
-					.toList()));
-		rig.submit("/long/", 182_000, ForwardRig.KEY, 1);
-		assertThat(rig.all(CallInstance.class)).as("calls of the held prompt").isEmpty();
-	}
-
-	/** How far a request has come. */
-	private enum Progress {
-
-		HELD(Execution.NOT_RUN) {
-			@Override
-			void prepare(ForwardRig rig) {
-				holdPrompt(rig);
-			}
-		},
-
-		SENT(Execution.FAILED) {
-			@Override
-			void prepare(ForwardRig rig) {
-				rig.submit("/look/");
-			}
-		},
-
-		SENT_AT_MOST_ONCE(Execution.UNKNOWN) {
-			@Override
-			void prepare(ForwardRig rig) {
-				rig.submit("/order/");
-			}
-		},
-
-		PLAIN_PART_RECEIVED(Execution.FAILED) {
-			@Override
-			void prepare(ForwardRig rig) {
-				rig.submit("/look/");
-				rig.answer(rig.lastAttempt(), 200, AnswerVerdict.RUN, false);
-				rig.bytes(rig.lastAttempt(), "part");
-			}
-		},
-
-		STREAMING(Execution.FAILED) {
-			@Override
-			void prepare(ForwardRig rig) {
-				rig.submit("/ask/", 5_000, ForwardRig.KEY, 1);
-				rig.startAnswer(rig.lastAttempt());
-			}
-		};
-
-		private final Execution execution;
-
-		Progress(Execution execution) {
-			this.execution = execution;
-		}
-
-		abstract void prepare(ForwardRig rig);
-
-	}
-
 }
--- a/rattanhead-server/src/test/java/org/rattanhead/server/BrokenResponseTests.java
+++ b/rattanhead-server/src/test/java/org/rattanhead/server/BrokenResponseTests.java
@@ -27,13 +27,13 @@
 	@ParameterizedTest(name = "{0}, {1}: {2}")
 	@CsvSource({ "HTTP/1.1, keep-alive, LAST_CHUNK_MISSING", "HTTP/1.1, close, LAST_CHUNK_MISSING",
 			"HTTP/1.0, close, RESET" })
-	void abortedResponseDoesNotLookComplete(String protocol, String connection, End end) throws Exception {
+	void abortedResponseDoesNotLookComplete(String protocol, String connection, ObservedEnd end) throws Exception {
 		assertThat(end(receive(protocol, connection, ResponseWriter::abort))).isEqualTo(end);
 	}
 
 	@ParameterizedTest(name = "{0}, {1}: {2}")
 	@CsvSource({ "HTTP/1.1, close, LAST_CHUNK", "HTTP/1.0, close, CLOSE" })
-	void completeResponseLooksComplete(String protocol, String connection, End end) throws Exception {
+	void completeResponseLooksComplete(String protocol, String connection, ObservedEnd end) throws Exception {
 		assertThat(end(receive(protocol, connection, ResponseWriter::end))).isEqualTo(end);
 	}
 
@@ -67,22 +67,15 @@
 		}
 	}
 
-	private static End end(String received) {
+	private static ObservedEnd end(String received) {
 		assertThat(received).contains(BODY);
 		if (received.endsWith("<reset>")) {
-			return End.RESET;
+			return ObservedEnd.RESET;
 		}
 		if (!received.contains("Transfer-Encoding: chunked")) {
-			return End.CLOSE;
+			return ObservedEnd.CLOSE;
 		}
-		return received.endsWith("0\r\n\r\n") ? End.LAST_CHUNK : End.LAST_CHUNK_MISSING;
-	}
-
-	/** How the caller sees a response end. */
-	private enum End {
-
-		LAST_CHUNK, LAST_CHUNK_MISSING, CLOSE, RESET
-
+		return received.endsWith("0\r\n\r\n") ? ObservedEnd.LAST_CHUNK : ObservedEnd.LAST_CHUNK_MISSING;
 	}
 
 }
