--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -25,11 +25,6 @@
 
 	private static final long REDELIVERY_INTERVAL_MILLIS = 2;
 
-	private static final int MAX_TURN_BYTES = 64 * 1024;
-
-	/** Bounds a turn whose reads return few bytes each, as with chunks of one byte. */
-	private static final int MAX_TURN_READS = 256;
-
 	private final StreamSourceChannel channel;
 
 	private final ByteBufferPool buffers;
@@ -109,7 +104,8 @@
 				readWhenReady();
 				return;
 			}
-			if (this.turnReads >= MAX_TURN_READS || turnBytes >= MAX_TURN_BYTES || this.windowBytes <= 0) {
+			if (this.turnReads >= TurnQueue.MAX_TURN_READS || turnBytes >= TurnQueue.MAX_TURN_BYTES
+					|| this.windowBytes <= 0) {
 				this.channel.suspendReads();
 				this.turns.add(this::read);
 				return;
@@ -126,7 +122,7 @@
 	private boolean fill(ByteBuffer buffer) {
 		int count = 1;
 		try {
-			while (count > 0 && buffer.hasRemaining() && this.turnReads < MAX_TURN_READS && !this.endReached
+			while (count > 0 && buffer.hasRemaining() && this.turnReads < TurnQueue.MAX_TURN_READS && !this.endReached
 					&& this.failure == null) {
 				this.turnReads++;
 				count = this.channel.read(buffer);
--- a/rattanhead-core/src/main/java/org/rattanhead/core/TurnQueue.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/TurnQueue.java
@@ -15,6 +15,14 @@
 	/** The delay between two rounds, in milliseconds. */
 	public static final long ROUND_INTERVAL_MILLIS = 1;
 
+	/** How much a connection may read in one turn, in bytes. */
+	public static final int MAX_TURN_BYTES = 64 * 1024;
+
+	/**
+	 * How often a connection may read in one turn, whose reads may return few bytes each.
+	 */
+	public static final int MAX_TURN_READS = 256;
+
 	private static final int TURNS_PER_ROUND = 8;
 
 	private final Consumer<Runnable> nextRound;
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -3,9 +3,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -70,9 +69,9 @@
 
 	private final DaemonMetrics metrics = new DaemonMetrics(() -> this.status.catalogue().offset());
 
-	private final CompletableFuture<Void> edgeDrained = new CompletableFuture<>();
+	private final CountDownLatch edgeDrained = new CountDownLatch(1);
 
-	private final CompletableFuture<Void> holderDrained = new CompletableFuture<>();
+	private final CountDownLatch holderDrained = new CountDownLatch(1);
 
 	private final OwnedResources resources = new OwnedResources();
 
@@ -121,9 +120,9 @@
 		this.frontEnd = own(new FrontEnd(self, settings.callers(), this.edge, pages(), this.metrics));
 		DeliveryDuty delivery = own(new DeliveryDuty(this.frontEnd.answers(), this.edge));
 		this.edgeRouter.complete(new EdgeRouter(self, this.edge, this.holder, this.peers, this.claims, delivery,
-				this.metrics, () -> this.edgeDrained.complete(null)));
+				this.metrics, this.edgeDrained::countDown));
 		this.holderRouter.complete(new HolderRouter(self, this.edge, this.holder, this.peers, upstreams, this.status,
-				this.metrics, () -> this.holderDrained.complete(null)));
+				this.metrics, this.holderDrained::countDown));
 		this.metrics.registerPeerBytes(this.network::sentBytes);
 		this.metrics.registerRings(List.of(this.edge, this.holder, this.membership.duty(), this.peers.duty(),
 				this.claims.duty(), upstreams.duty(), delivery.duty()));
@@ -144,14 +143,14 @@
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.drainDelayMillis());
 			this.edge.offer(new EdgeShutdown(), Urgency.CONTROL);
-			if (!await(this.edgeDrained, this.settings.drainTimeoutMillis())) {
+			if (!this.edgeDrained.await(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: some requests still run after {} ms and get their final answer;"
 						+ " raise drain-timeout to wait longer", this.settings.drainTimeoutMillis());
 				this.edge.offer(new EdgeGraceEnded(), Urgency.CONTROL);
-				await(this.edgeDrained, FINAL_ANSWERS_MILLIS);
+				this.edgeDrained.await(FINAL_ANSWERS_MILLIS, TimeUnit.MILLISECONDS);
 			}
 			this.holder.offer(new HolderShutdown(), Urgency.CONTROL);
-			if (!await(this.holderDrained, this.settings.drainTimeoutMillis())) {
+			if (!this.holderDrained.await(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: some work of other daemons still runs and is cancelled");
 			}
 			boolean written = this.frontEnd.awaitWritten(FINAL_ANSWERS_MILLIS);
@@ -163,19 +162,6 @@
 		}
 	}
 
-	private static boolean await(CompletableFuture<Void> event, long timeoutMillis) throws InterruptedException {
-		try {
-			event.get(timeoutMillis, TimeUnit.MILLISECONDS);
-			return true;
-		}
-		catch (ExecutionException ex) {
-			throw new IllegalStateException("The shutdown failed", ex);
-		}
-		catch (TimeoutException ex) {
-			return false;
-		}
-	}
-
 	/**
 	 * Returns whether the daemon accepts new work.
 	 * @return true if the catalogue and the members are loaded and no shutdown has
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -4,9 +4,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -113,7 +112,7 @@
 
 	private final CompletableFuture<GatewayRouter> router = new CompletableFuture<>();
 
-	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+	private final CountDownLatch drained = new CountDownLatch(1);
 
 	private final AtomicBoolean tickDue = new AtomicBoolean();
 
@@ -154,7 +153,7 @@
 		KeyedStore store = new HttpKeyedStore(this.storeCaller, settings.storeAddress());
 		RecordWriter records = new RecordWriter(store, this.ticker);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
-				() -> this.drained.complete(null)));
+				this.drained::countDown));
 		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
 		Consumer<StreamUpdate> sendUpdate = (update) -> mesh.offer(new SendStreamUpdate(update));
@@ -187,10 +186,10 @@
 		try {
 			TimeUnit.MILLISECONDS.sleep(Math.min(DRAIN_DELAY_MILLIS, this.settings.graceMillis() / 2));
 			this.decisions.offer(new ForwardDraining(true), Urgency.CONTROL);
-			if (!awaitDrained(millisUntil(endNanos))) {
+			if (!this.drained.await(millisUntil(endNanos), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: requests still run at the end of the grace period; they get their final reply");
 				this.decisions.offer(new GraceEnded(), Urgency.CONTROL);
-				awaitDrained(FINAL_REPLIES_MILLIS);
+				this.drained.await(FINAL_REPLIES_MILLIS, TimeUnit.MILLISECONDS);
 			}
 			boolean written = this.frontEnd.awaitWritten(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
 			LOGGER.info("daemon: stopped; {}",
@@ -201,19 +200,6 @@
 		}
 	}
 
-	private boolean awaitDrained(long timeoutMillis) throws InterruptedException {
-		try {
-			this.drained.get(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
-			return true;
-		}
-		catch (ExecutionException ex) {
-			throw new IllegalStateException("The shutdown failed", ex);
-		}
-		catch (TimeoutException ex) {
-			return false;
-		}
-	}
-
 	private static long millisUntil(long nanos) {
 		return TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime());
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerNoticeReceived.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerNoticeReceived.java
@@ -3,7 +3,7 @@
 import org.rattanhead.core.forward.ServerNotice;
 
 /**
- * Another daemon told what an instance said of itself in an answer to it.
+ * Another daemon sent what an instance said of itself in an answer to it.
  *
  * @param instance the id of the instance
  * @param incarnation the incarnation that said it
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PublishNotice.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PublishNotice.java
@@ -3,7 +3,7 @@
 import org.rattanhead.core.forward.ServerNotice;
 
 /**
- * Tells the other daemons what an instance said of itself.
+ * Sends the other daemons what an instance said of itself.
  *
  * @param instance the id of the instance
  * @param incarnation the incarnation that said it
--- a/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
@@ -75,7 +75,7 @@
 	 * @throws InterruptedException if the wait is interrupted
 	 */
 	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.registry.awaitWritten(timeoutMillis);
+		return this.registry.exchanges().awaitWritten(timeoutMillis);
 	}
 
 	private HttpHandler routes(FrontEndSettings settings, EventSink<EdgeEvent> edge, FrontEndPages pages,
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -81,7 +81,7 @@
 	 * @throws InterruptedException if the wait is interrupted
 	 */
 	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.registry.awaitWritten(timeoutMillis);
+		return this.registry.exchanges().awaitWritten(timeoutMillis);
 	}
 
 	private static HttpHandler routeByPort(InetSocketAddress callerAddress, HttpHandler forwardHandler,
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
@@ -73,10 +73,9 @@
 			discard(exchange);
 			return;
 		}
-		BodyReservation reservation = this.registry.reserveBody(exchange);
-		new RequestBodyReader(exchange, limits, this.registry.turns(exchange), reservation,
-				(body) -> submit(exchange, body), (problem) -> refuseAndClose(exchange, problem))
-			.start();
+		this.registry.exchanges()
+			.readBody(exchange, limits, (body) -> submit(exchange, body),
+					(problem) -> refuseAndClose(exchange, problem));
 	}
 
 	private void discard(HttpServerExchange exchange) {
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -82,10 +82,9 @@
 			refuseAndClose(exchange, id, limits.tooLarge());
 			return;
 		}
-		BodyReservation reservation = this.registry.reserveBody(exchange);
-		new RequestBodyReader(exchange, limits, this.registry.turns(exchange), reservation,
-				(body) -> submit(exchange, id, body), (problem) -> refuseAndClose(exchange, id, problem))
-			.start();
+		this.registry.exchanges()
+			.readBody(exchange, limits, (body) -> submit(exchange, id, body),
+					(problem) -> refuseAndClose(exchange, id, problem));
 	}
 
 	private void submit(HttpServerExchange exchange, RequestId id, Payload body) {
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -3,13 +3,9 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
-import org.xnio.XnioIoThread;
 
-import org.rattanhead.core.TurnQueue;
-import org.rattanhead.core.TurnQueues;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.forward.AbortReply;
 import org.rattanhead.decision.forward.BeginReply;
@@ -29,14 +25,9 @@
  */
 public final class ForwardRegistry implements ForwardReplyWriter {
 
-	private final TurnQueues<XnioIoThread> turns = new TurnQueues<>(
-			(thread, round) -> thread.executeAfter(round, TurnQueue.ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
-
 	private final ConcurrentMap<RequestId, ForwardStream> streams = new ConcurrentHashMap<>();
 
-	private final OpenResponses openResponses = new OpenResponses();
-
-	private final BodyBudget bodies = BodyBudget.ofHeap();
+	private final OpenExchanges exchanges = new OpenExchanges();
 
 	private final ForwardCodec codec;
 
@@ -55,12 +46,12 @@
 	}
 
 	void register(RequestId id, HttpServerExchange exchange) {
-		Runnable ended = this.openResponses.open(exchange);
+		Runnable ended = this.exchanges.openResponse(exchange);
 		this.streams.put(id, new ForwardStream(exchange, () -> {
 			ended.run();
 			callerDisconnected(id);
 		}, (bytes) -> this.decisions.offer(new ReplyWritten(id, bytes), Urgency.CONTROL),
-				this.turns.of(exchange.getIoThread())));
+				this.exchanges.turns(exchange)));
 	}
 
 	boolean closing() {
@@ -98,27 +89,12 @@
 		this.closing = true;
 	}
 
-	TurnQueue turns(HttpServerExchange exchange) {
-		return this.turns.of(exchange.getIoThread());
-	}
-
-	/**
-	 * Creates the reservation of a request body, which ends with the exchange.
-	 * @param exchange the exchange
-	 * @return the reservation
-	 */
-	BodyReservation reserveBody(HttpServerExchange exchange) {
-		return BodyReservation.open(this.bodies, exchange);
-	}
-
 	/**
-	 * Waits until all responses are written.
-	 * @param timeoutMillis the longest wait, in milliseconds
-	 * @return whether all are written
-	 * @throws InterruptedException if the wait is interrupted
+	 * Returns what the exchanges of this front end share.
+	 * @return the exchanges
 	 */
-	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.openResponses.awaitNone(timeoutMillis);
+	public OpenExchanges exchanges() {
+		return this.exchanges;
 	}
 
 	private void callerDisconnected(RequestId request) {
--- /dev/null
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
@@ -0,0 +1,65 @@
+package org.rattanhead.http.internal;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.undertow.server.HttpServerExchange;
+import org.xnio.XnioIoThread;
+
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.TurnQueue;
+import org.rattanhead.core.TurnQueues;
+import org.rattanhead.core.problem.Problem;
+
+/**
+ * What the exchanges of one front end share: turns on the I/O threads, the budget of
+ * request bodies, and the count of responses that are not yet written whole.
+ */
+public final class OpenExchanges {
+
+	private final TurnQueues<XnioIoThread> turns = new TurnQueues<>(
+			(thread, round) -> thread.executeAfter(round, TurnQueue.ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+
+	private final BodyBudget bodies = BodyBudget.ofHeap();
+
+	private final OpenResponses responses = new OpenResponses();
+
+	/**
+	 * Reads the body of a request within the budget, which it uses until the exchange
+	 * ends.
+	 * @param exchange the exchange
+	 * @param limits the limits of the body
+	 * @param onBody receives the body
+	 * @param onProblem receives the problem that prevents it
+	 */
+	void readBody(HttpServerExchange exchange, RequestBodyLimits limits, Consumer<Payload> onBody,
+			Consumer<Problem> onProblem) {
+		new RequestBodyReader(exchange, limits, turns(exchange), BodyReservation.open(this.bodies, exchange), onBody,
+				onProblem)
+			.start();
+	}
+
+	/**
+	 * Counts the response of an exchange until it is written.
+	 * @param exchange the exchange
+	 * @return must be run when the connection closes
+	 */
+	Runnable openResponse(HttpServerExchange exchange) {
+		return this.responses.open(exchange);
+	}
+
+	TurnQueue turns(HttpServerExchange exchange) {
+		return this.turns.of(exchange.getIoThread());
+	}
+
+	/**
+	 * Waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
+		return this.responses.awaitNone(timeoutMillis);
+	}
+
+}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
@@ -28,10 +28,6 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
-	private static final int MAX_TURN_BYTES = 64 * 1024;
-
-	private static final int MAX_TURN_READS = 256;
-
 	private final HttpServerExchange exchange;
 
 	private final RequestBodyLimits limits;
@@ -101,7 +97,7 @@
 		int turnBytes = 0;
 		int reads = 0;
 		while (!this.ended.get()) {
-			if (turnBytes >= MAX_TURN_BYTES || reads >= MAX_TURN_READS) {
+			if (turnBytes >= TurnQueue.MAX_TURN_BYTES || reads >= TurnQueue.MAX_TURN_READS) {
 				this.channel.suspendReads();
 				this.turns.add(this::read);
 				return;
