Reset the connection of a call that fails

Cause: an aborted call was closed with the close of the HTTP library (ConnectionUtils.cleanClose). During a call it sends the server nothing, since the sink of the connection is still that of the request, and then reads until the server closes its end, for up to 10 s. A server that had not answered worked on for a caller that had left. The same held for calls that reached their timeout. A connection without a call is closed in order; ConnectionPool.close did that on the thread of its caller and now uses the I/O thread. The connections of the server modules are closed at their channel by the library already.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ConnectionPool.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ConnectionPool.java
@@ -4,8 +4,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import org.xnio.IoUtils;
-
 /**
  * Idle connections by remote address.
  */
@@ -45,7 +43,7 @@
 
 	@Override
 	public void close() {
-		this.idle.drain().forEach((pooled) -> IoUtils.safeClose(pooled.connection().client()));
+		this.idle.drain().forEach((pooled) -> pooled.connection().close());
 	}
 
 }
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -161,7 +161,7 @@
 	}
 
 	/**
-	 * Fails the call and closes its connection, unless the call has ended.
+	 * Fails the call and resets its connection, unless the call has ended.
 	 * @param failure how it failed
 	 * @param detail what happened
 	 */
@@ -169,7 +169,7 @@
 		if (tryEnd()) {
 			ServerConnection current = this.connection;
 			if (current != null) {
-				current.close();
+				current.reset();
 			}
 			this.observer.onFailure(failure, detail);
 		}
--- a/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/AbortTests.java
@@ -6,16 +6,20 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rattanhead.core.Payload;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Aborting a call makes the server's writes fail, also when the server does not read.
@@ -87,6 +91,48 @@
 		}
 	}
 
+	/**
+	 * Guards against a server that keeps working for a call that has reached its
+	 * deadline, or whose client has stopped.
+	 */
+	@ParameterizedTest(name = "timeout {0} ms, client closed: {1}")
+	@CsvSource({ "300, false", "20000, true" })
+	void serverSeesTheEndOfACallThatIsNotAborted(long timeoutMillis, boolean close) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+				HttpClient caller = new HttpClient("test", 1)) {
+			CompletableFuture<Boolean> received = new CompletableFuture<>();
+			CompletableFuture<String> end = CompletableFuture.supplyAsync(() -> readToEnd(listener, received));
+			caller.start(HttpCall.get(new InetSocketAddress("127.0.0.1", listener.getLocalPort()), "/", timeoutMillis),
+					this.ignoringObserver);
+			received.get(5, TimeUnit.SECONDS);
+			if (close) {
+				caller.close();
+			}
+			assertThat(end.get(5, TimeUnit.SECONDS)).isIn("reset", "orderly close");
+		}
+	}
+
+	/**
+	 * Guards against an end of stream in place of a reset while a request body is
+	 * written, which a server may take for a caller that still awaits its answer.
+	 */
+	@ParameterizedTest(name = "body of {0} bytes")
+	@ValueSource(ints = { 16 * 1024 * 1024 })
+	void serverThatDoesNotReadTheBodySeesAReset(int bytes) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+				HttpClient caller = new HttpClient("test", 1)) {
+			HttpCall upload = new HttpCall(new InetSocketAddress("127.0.0.1", listener.getLocalPort()), "POST", "/",
+					List.of(), new Payload(new byte[bytes]), 20_000);
+			OngoingCall call = caller.start(upload, this.ignoringObserver);
+			try (Socket socket = listener.accept()) {
+				assertThat(socket.getInputStream().read()).isNotNegative();
+				call.abort();
+				socket.setSoTimeout(5_000);
+				assertThatThrownBy(() -> socket.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
+			}
+		}
+	}
+
 	private static String readToEnd(ServerSocket listener, CompletableFuture<Boolean> received) {
 		try (Socket socket = listener.accept()) {
 			InputStream in = socket.getInputStream();
