Apply grants and aborts of calls without the ring of the duty

Cause: ForwardCallDuty passed GrantBytes and AbortAttempt through its ring and ignored a refusal. With a full ring the grant was lost and its answer stalled until the deadline; a lost abort left the instance at work for a caller that had left. Change: AttemptCall holds the call of one attempt. Grants and aborts take effect on the thread that gives them, by a task on the I/O thread of the connection; what comes before the start is applied with the start, and a call that is aborted before its start is not made. Neither needs a free slot, no thread waits or repeats. The tasks GrantForward, StopForward and RemoveForward are gone. The report of written bytes (ReplyWritten) is repeated after a refusal already (WrittenBytes).

--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -1,8 +1,8 @@
 package org.rattanhead.upstream.forward;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -11,7 +11,6 @@
 import org.rattanhead.client.HttpClient;
 import org.rattanhead.client.HttpHead;
 import org.rattanhead.client.HttpReply;
-import org.rattanhead.client.OngoingCall;
 import org.rattanhead.core.HandlerTable;
 import org.rattanhead.core.forward.AttemptFault;
 import org.rattanhead.core.forward.ServerNotice;
@@ -51,7 +50,7 @@
 
 	private final EventSink<ForwardEvent> decisions;
 
-	private final Map<AttemptId, OngoingCall> calls = new HashMap<>();
+	private final ConcurrentMap<AttemptId, AttemptCall> calls = new ConcurrentHashMap<>();
 
 	private final Duty<ForwardTask> duty;
 
@@ -62,17 +61,18 @@
 	 * @param decisions the ring of the forwarding decisions
 	 */
 	public ForwardCallDuty(HttpClient caller, CallCodec codec, EventSink<ForwardEvent> decisions) {
+		this(caller, codec, decisions, RING_SLOTS);
+	}
+
+	ForwardCallDuty(HttpClient caller, CallCodec codec, EventSink<ForwardEvent> decisions, int ringSlots) {
 		this.caller = caller;
 		this.codec = codec;
 		this.decisions = decisions;
 		HandlerTable<ForwardTask, Boolean> handlers = new HandlerTable<ForwardTask, Boolean>()
-			.on(StartForward.class, (task, now) -> start(task.command()))
-			.on(StopForward.class, (task, now) -> abort(task.attempt()))
-			.on(GrantForward.class, (task, now) -> grantCall(task.command()))
-			.on(RemoveForward.class, (task, now) -> this.calls.remove(task.attempt()) != null)
+			.on(StartForward.class, (task, now) -> start(task.command(), task.call()))
 			.on(UpdateReservation.class, (task, now) -> sendReservation(task))
 			.covering(ForwardTask.class);
-		this.duty = new Duty<>("instance-calls", RING_SLOTS, System::nanoTime, handlers::handle);
+		this.duty = new Duty<>("instance-calls", ringSlots, System::nanoTime, handlers::handle);
 	}
 
 	/**
@@ -81,7 +81,10 @@
 	 * @param command the call
 	 */
 	public void call(CallInstance command) {
-		if (!this.duty.offer(new StartForward(command), Urgency.NEW_WORK)) {
+		AttemptCall call = new AttemptCall();
+		this.calls.put(command.call().attempt(), call);
+		if (!this.duty.offer(new StartForward(command, call), Urgency.NEW_WORK)) {
+			this.calls.remove(command.call().attempt());
 			LOGGER.warn("upstream: ring has no room, instance {} not called; the request is reported as not sent",
 					command.call().instance().id());
 			this.decisions.offer(new AttemptFailed(command.call().attempt(), AttemptFault.NOT_SENT,
@@ -90,11 +93,14 @@
 	}
 
 	/**
-	 * Aborts a call.
+	 * Aborts a call. A call that has not been started is not made.
 	 * @param command the call
 	 */
 	public void abort(AbortAttempt command) {
-		this.duty.offer(new StopForward(command.attempt()), Urgency.CONTROL);
+		AttemptCall call = this.calls.remove(command.attempt());
+		if (call != null) {
+			call.abort();
+		}
 	}
 
 	/**
@@ -102,7 +108,10 @@
 	 * @param command the call and the number of bytes
 	 */
 	public void grant(GrantBytes command) {
-		this.duty.offer(new GrantForward(command), Urgency.CONTROL);
+		AttemptCall call = this.calls.get(command.attempt());
+		if (call != null) {
+			call.grant(command.bytes());
+		}
 	}
 
 	/**
@@ -131,31 +140,18 @@
 		return this.duty;
 	}
 
-	private boolean start(CallInstance command) {
+	private boolean start(CallInstance command, AttemptCall call) {
+		if (call.aborted()) {
+			return false;
+		}
 		AttemptId attempt = command.call().attempt();
-		Runnable onEnded = () -> this.duty.offer(new RemoveForward(attempt), Urgency.CONTROL);
-		ForwardObserver observer = new ForwardObserver(command.call(), this.codec, this.decisions, onEnded);
+		ForwardObserver observer = new ForwardObserver(command.call(), this.codec, this.decisions,
+				() -> this.calls.remove(attempt, call));
 		ConnectPolicy policy = new ConnectPolicy(command.call().freshConnection(), command.connectMillis());
-		this.calls.put(attempt, this.caller.start(this.codec.encode(command.call()), observer, policy));
+		call.started(this.caller.start(this.codec.encode(command.call()), observer, policy));
 		return true;
 	}
 
-	private boolean abort(AttemptId attempt) {
-		OngoingCall call = this.calls.remove(attempt);
-		if (call != null) {
-			call.abort();
-		}
-		return call != null;
-	}
-
-	private boolean grantCall(GrantBytes command) {
-		OngoingCall call = this.calls.get(command.attempt());
-		if (call != null) {
-			call.grant(command.bytes());
-		}
-		return call != null;
-	}
-
 	private boolean sendReservation(UpdateReservation task) {
 		this.caller.call(task.call()).whenComplete((reply, failure) -> {
 			TicketOutcome outcome = (reply != null) ? outcome(reply, task.release()) : TicketOutcome.UNKNOWN;
--- /dev/null
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the calls to registered upstream instances.
+ */
+package org.rattanhead.upstream.forward;
