--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Rehearsal.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Rehearsal.java
@@ -1,7 +1,9 @@
 package org.rattanhead.daemon.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
@@ -35,30 +37,38 @@
 	/**
 	 * Runs the rehearsal.
 	 * @param file the settings of the gateway
+	 * @throws IllegalStateException if an address has answered no call, so that the
+	 * classes that serve it were not loaded
 	 */
 	public static void run(IniFile file) {
 		GatewaySettings settings = GatewaySettingsFile.parse(file);
 		GatewayLogs.apply(Level.INFO);
 		List<InetSocketAddress> addresses = List.of(settings.callersAddress(), settings.readyAddress(),
 				settings.directoryAddress(), settings.metricsAddress());
+		Set<InetSocketAddress> answered = new HashSet<>();
 		try (Gateway gateway = new Gateway(settings); HttpClient caller = new HttpClient("rehearsal", 1)) {
 			for (int round = 0; round < ROUNDS; round++) {
 				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
-				addresses.forEach((address) -> call(caller, address));
+				addresses.stream().filter((address) -> call(caller, address)).forEach(answered::add);
 				LOGGER.info("daemon: rehearsal round {} ended with {} open calls", round, gateway.openCalls());
 			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		if (!answered.containsAll(addresses)) {
+			throw new IllegalStateException("the rehearsal had answers only from " + answered);
+		}
 	}
 
-	private static void call(HttpClient caller, InetSocketAddress address) {
+	private static boolean call(HttpClient caller, InetSocketAddress address) {
 		try {
 			caller.call(new HttpCall(address, "POST", "/", List.of(), Payload.of("{}"), TIMEOUT_MILLIS)).join();
+			return true;
 		}
 		catch (CompletionException ex) {
 			LOGGER.info("daemon: rehearsal call failed: {}", ex.getMessage());
+			return false;
 		}
 	}
 
