Wait for the stored suspects before a gateway is ready

Cause: GatewayStatus.ready() waited for the configuration and the instances, not for the records of daemons, which hold the blocked suspects. A gateway that read these last sent a prompt with a fatal part, and answered 502 when the record arrived while the prompt ran ("The instance failed: The request, or a part of its prompt, made several upstream instances fail: dead."). Change: a gateway is ready after the first read of the records of daemons as well. After three failed reads of these alone it does not wait, since a gateway that serves nobody is worse than one that learns of a suspect from its peers. Two runs of both classes beside three busy loops pass. A delay of 1,000 ms, which is the time-out of reads, counts as failed reads and is not covered. mvn -pl rattanhead-daemon -am verify with the tests of the package gateway: 185 pass.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -165,7 +165,7 @@
 				new InstanceRecordListener(this.decisions, this.status, System::nanoTime)));
 		followers.add(KeyedStream.MEMBERS,
 				follow.apply(MEMBERS_PLAN, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
-						(changes) -> this.decisions.offer(changes, Urgency.CONTROL))));
+						(changes) -> this.decisions.offer(changes, Urgency.CONTROL), this.status)));
 		records.put(this.self.host(), MemberRecordCodec.encode(this.self));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
@@ -11,18 +11,29 @@
  */
 final class GatewayStatus {
 
+	/**
+	 * The failed reads of the daemons' records, after all other records were read, from
+	 * which the gateway no longer waits for them. With the pauses between reads, that is
+	 * 1 s if the store refuses them, and 4 s if it does not answer.
+	 */
+	private static final int MAX_MEMBER_READ_FAILURES = 3;
+
 	private final Member self;
 
 	private volatile boolean configured;
 
 	private volatile boolean instancesLoaded;
 
+	private volatile boolean membersLoaded;
+
 	private volatile boolean draining;
 
 	private volatile boolean serving;
 
 	private volatile List<Member> otherServingMembers = List.of();
 
+	private int memberReadFailures;
+
 	GatewayStatus(Member self) {
 		this.self = self;
 	}
@@ -35,6 +46,24 @@
 		this.instancesLoaded = true;
 	}
 
+	/**
+	 * Records that the records of daemons were read, which include the suspects that are
+	 * blocked.
+	 */
+	void markMembersLoaded() {
+		this.membersLoaded = true;
+	}
+
+	/**
+	 * Records that the records of daemons could not be read. Called by one duty.
+	 */
+	void memberReadFailed() {
+		if (this.configured && this.instancesLoaded) {
+			this.memberReadFailures++;
+			this.membersLoaded |= this.memberReadFailures >= MAX_MEMBER_READ_FAILURES;
+		}
+	}
+
 	void startDraining() {
 		this.draining = true;
 	}
@@ -44,8 +73,13 @@
 		this.otherServingMembers = newOtherServingMembers;
 	}
 
+	/**
+	 * Returns whether callers may use this gateway. It waits for the stored suspects,
+	 * since it would send the requests with which instances crash.
+	 * @return true if they may
+	 */
 	boolean ready() {
-		return this.configured && this.instancesLoaded && !this.draining;
+		return this.configured && this.instancesLoaded && this.membersLoaded && !this.draining;
 	}
 
 	/**
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
@@ -20,14 +20,22 @@
 
 	private final Consumer<StoredSuspectsChanged> onSuspects;
 
-	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects) {
+	private final GatewayStatus status;
+
+	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects, GatewayStatus status) {
+		this.status = status;
 		this.onMember = onMember;
 		this.onSuspects = onSuspects;
 	}
 
 	@Override
 	public void onNewest(List<KeyedRecord> records) {
-		onChanges(records);
+		try {
+			onChanges(records);
+		}
+		finally {
+			this.status.markMembersLoaded();
+		}
 	}
 
 	@Override
@@ -53,6 +61,7 @@
 	@Override
 	public void onReadFailed() {
 		// Daemons still receive heartbeats from each other.
+		this.status.memberReadFailed();
 	}
 
 }
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FatalPartEndToEndTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FatalPartEndToEndTests.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rattanhead.adapter.standin.RawAnswer;
 import org.rattanhead.adapter.standin.RawRequest;
@@ -44,6 +45,31 @@
 		}
 	}
 
+	/**
+	 * Guards against a gateway that is ready before it has read the stored suspects: it
+	 * sent a prompt with the part, and answered 502 when it read the record.
+	 */
+	@ParameterizedTest(name = "records of daemons read after {0} ms")
+	@ValueSource(longs = { 200, 500 })
+	void waitsForStoredSuspectsBeforeItIsReady(long delayMillis) throws Exception {
+		try (GatewayRig rig = new GatewayRig(INSTANCES, FatalPartEndToEndTests::answer)) {
+			rig.store.put(GatewayRig.MEMBERS, SuspectRecordCodec.key(0xdead), SuspectRecordCodec.BLOCKED.text());
+			rig.store.server().setScript((request) -> {
+				boolean delayed = request.target().contains("newest")
+						&& request.parameter("Topic").equals(GatewayRig.MEMBERS);
+				RawAnswer answer = rig.store.serve(request);
+				return delayed ? answer.delayedBy(delayMillis) : answer;
+			});
+			// It would report the suspect to the next one.
+			rig.gateway.close();
+			try (Gateway next = rig.startAnother(); RawCaller caller = rig.anotherCaller()) {
+				assertThat(caller.send(prompt("f1", "dead:5,1:1")).answer()).startsWith("HTTP/1.1 503");
+				assertThat(next.openCalls()).isZero();
+			}
+			assertThat(fatalCount(rig)).isZero();
+		}
+	}
+
 	private static RawAnswer answer(RawRequest request) {
 		return request.header("X-Prompt-Prefix").contains("dead") ? RawAnswer.connectionClose()
 				: GatewayRig.signed(request, "right");
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -28,6 +28,8 @@
 
 	static final String INSTANCES = "keyed.servers";
 
+	static final String MEMBERS = "keyed.rattanhead-members";
+
 	private static final String ROUTES = "{'Host':'h','PathPrefix':'/look/','Kind':'idempotent','TimeoutMs':4000,"
 			+ "'TargetLatencyMs':100,'MaxAttempts':2,'Service':'s'},{'Host':'h','PathPrefix':'/order/',"
 			+ "'Kind':'non_idempotent','TimeoutMs':4000,'TargetLatencyMs':100,'MaxAttempts':1,'Service':'s'},"
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,7 +25,10 @@
 
 	private final List<StoredSuspectsChanged> changes = new ArrayList<>();
 
-	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add);
+	private final GatewayStatus status = new GatewayStatus(new Member("self", 1, "10.0.0.9:80", "10.0.0.9:90", 0));
+
+	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add,
+			this.status);
 
 	@ParameterizedTest(name = "suspect {0}, blocked {1}")
 	@CsvSource({ "0, true", "7, true", "7, false", "-1, true", "96483650265325, false", "-9223372036854775808, true" })
@@ -44,4 +48,22 @@
 		assertThat(this.members).isEmpty();
 	}
 
+	/**
+	 * Guards against a gateway that is ready before it knows the stored suspects, and
+	 * against one that never becomes ready because only these cannot be read.
+	 */
+	@ParameterizedTest(name = "{0} failed reads before and {1} after the other records, then read: {2}")
+	@CsvSource({ "0, 0, false, false", "0, 0, true, true", "0, 2, false, false", "0, 2, true, true",
+			"0, 3, false, true", "9, 0, false, false", "9, 2, false, false", "9, 3, false, true" })
+	void gatewayIsReadyOnceSuspectsAreRead(int before, int after, boolean read, boolean ready) {
+		IntStream.range(0, before).forEach((failure) -> this.listener.onReadFailed());
+		this.status.markConfigured();
+		this.status.markInstancesLoaded();
+		IntStream.range(0, after).forEach((failure) -> this.listener.onReadFailed());
+		if (read) {
+			this.listener.onNewest(List.of());
+		}
+		assertThat(this.status.ready()).isEqualTo(ready);
+	}
+
 }
