Keep the reading follower of KeyedFollowerTests the reader under load

Cause: the plan of the tests had no time to yield, so a follower counted as the reader for 78 ms of real time after a read. If its thread got no processor for longer, the next read did not wait, as a real follower's would after 1.3 s or more. Change: the plan has a time to yield of 60 s, which these tests do not examine. No expected read has changed.

--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -37,6 +37,8 @@
 
 	private volatile String failingCall = "";
 
+	private volatile long newestMillis;
+
 	private final KeyedStore store = new KeyedStore() {
 		@Override
 		public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
@@ -65,6 +67,7 @@
 		@Override
 		public void onNewest(List<KeyedRecord> records) {
 			failIfWanted("newest");
+			sleep(KeyedFollowerTests.this.newestMillis);
 			KeyedFollowerTests.this.notifications.add("newest " + records.size());
 		}
 
@@ -93,9 +96,10 @@
 		}
 	};
 
-	@ParameterizedTest(name = "{0} failures")
-	@ValueSource(ints = { 1, 2 })
-	void readsWithoutWaitingUntilAReadSucceeds(int failures) throws Exception {
+	@ParameterizedTest(name = "{0} failures, thread of the follower held up for {1} ms")
+	@CsvSource({ "1, 0", "2, 0", "1, 200" })
+	void readsWithoutWaitingUntilAReadSucceeds(int failures, long heldUpMillis) throws Exception {
+		this.newestMillis = heldUpMillis;
 		page(5, 1, false);
 		for (int failure = 0; failure < failures; failure++) {
 			this.responses.add(CompletableFuture.failedFuture(new IllegalStateException("no answer")));
@@ -201,6 +205,15 @@
 		});
 	}
 
+	private static void sleep(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static KeyedRecord record(String key) {
 		return new KeyedRecord(key, Optional.of(Payload.of("v")));
 	}
@@ -220,7 +233,9 @@
 	}
 
 	private void follow(Check check) throws Exception {
-		follow(new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS, 0), (follower) -> check.run());
+		// The follower reads for all until the time to yield is over, which must not end
+		// while its thread gets no processor.
+		follow(new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS, 60_000), (follower) -> check.run());
 	}
 
 	private void follow(FollowPlan plan, FollowerCheck check) throws Exception {
