Cut the calls of gateways to the store

Cause: all calls to the store are billed, refused ones included.

Change: - GuardedStore: after a failed read, one call at a time tests whether the store has returned. - A gateway that starts requests the newest records from others and reads only without an answer. Reads of announcements wait for changes. - Updates that overlap with known records are applied without a read. - A page read while an update arrives is sent on without the records of that update. Before, the update could lack a record that its receivers did not have. - The metric rattanhead_store_calls_total counts calls by stream, kind and outcome. - StreamReader is KeyedFollower without thread and ticker, so that tests run a fleet in virtual time.

--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
@@ -0,0 +1,67 @@
+package org.rattanhead.daemon.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.rattanhead.core.forward.Member;
+import org.rattanhead.core.keyed.KeyedRecord;
+
+/**
+ * Announces this daemon after a start, once the announcements of all daemons were read. A
+ * daemon that starts again soon at the same addresses leaves its announcement as it is,
+ * since the others learn the time of its start from its heartbeats.
+ */
+final class Announcement {
+
+	/**
+	 * How old the stored start of this daemon may be. Others forget a daemon that they do
+	 * not hear from 10 minutes after they have read its announcement.
+	 */
+	private static final long MAX_AGE_MILLIS = TimeUnit.MINUTES.toMillis(5);
+
+	private final Member self;
+
+	private final Runnable write;
+
+	private final Consumer<Boolean> onPeersKnown;
+
+	private boolean done;
+
+	/**
+	 * Creates the announcement.
+	 * @param self this daemon
+	 * @param write writes the announcement to the store
+	 * @param onPeersKnown receives whether other daemons are announced
+	 */
+	Announcement(Member self, Runnable write, Consumer<Boolean> onPeersKnown) {
+		this.self = self;
+		this.write = write;
+		this.onPeersKnown = onPeersKnown;
+	}
+
+	void onNewest(List<KeyedRecord> records) {
+		if (this.done) {
+			return;
+		}
+		this.done = true;
+		List<Member> members = records.stream().flatMap((record) -> decode(record).stream()).toList();
+		if (members.stream().noneMatch(this::announcesSelf)) {
+			this.write.run();
+		}
+		this.onPeersKnown.accept(members.stream().anyMatch((member) -> !member.host().equals(this.self.host())));
+	}
+
+	private boolean announcesSelf(Member stored) {
+		long ageMillis = this.self.startedMillis() - stored.startedMillis();
+		return ageMillis >= 0 && ageMillis <= MAX_AGE_MILLIS
+				&& stored.equals(new Member(this.self.host(), stored.startedMillis(), this.self.callersAddress(),
+						this.self.meshAddress(), this.self.processorMillicores()));
+	}
+
+	private static Optional<Member> decode(KeyedRecord record) {
+		return record.value().flatMap((value) -> MemberRecordCodec.decode(record.key(), value));
+	}
+
+}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -7,8 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BiFunction;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -20,7 +19,6 @@
 import org.rattanhead.client.HttpClient;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.keyed.KeyedStream;
-import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.daemon.OwnedResources;
 import org.rattanhead.decision.forward.ForwardDecider;
 import org.rattanhead.decision.forward.ForwardDraining;
@@ -33,10 +31,12 @@
 import org.rattanhead.http.forward.ForwardSettings;
 import org.rattanhead.http.forward.PageContent;
 import org.rattanhead.http.forward.ServedPage;
-import org.rattanhead.platform.keyed.FollowPlan;
+import org.rattanhead.platform.keyed.FollowPlans;
+import org.rattanhead.platform.keyed.GuardedStore;
 import org.rattanhead.platform.keyed.KeyedFollower;
 import org.rattanhead.platform.keyed.KeyedListener;
 import org.rattanhead.platform.keyed.KeyedStore;
+import org.rattanhead.platform.keyed.RecordWriter;
 import org.rattanhead.ring.Duty;
 import org.rattanhead.ring.Ticker;
 import org.rattanhead.ring.Urgency;
@@ -60,20 +60,6 @@
 	/** The period of heartbeats; a daemon that misses three counts as dead. */
 	private static final long HEARTBEAT_PERIOD_MILLIS = 700;
 
-	/**
-	 * The longest yield time stays below the time within which the platform requires a
-	 * configuration to be in force, and covers the loss of one update.
-	 */
-	private static final FollowPlan OPERATORS_PLAN = new FollowPlan(KeyedStream.OPERATORS, 200, 500, 1_300);
-
-	/** Stays below the time within which a leaving instance must be noticed. */
-	private static final FollowPlan INSTANCES_PLAN = new FollowPlan(KeyedStream.INSTANCES, 650, 0, 1_300);
-
-	/**
-	 * A new daemon receives stream updates once another one has read its announcement.
-	 */
-	private static final FollowPlan MEMBERS_PLAN = new FollowPlan(KeyedStream.MEMBERS, 2_000, 0, 6_000);
-
 	/**
 	 * How long new requests are accepted after SIGTERM, while callers may still use the
 	 * address of this daemon.
@@ -145,28 +131,28 @@
 		}));
 		this.caller = own(new HttpClient("calls", 1));
 		this.storeCaller = own(new HttpClient("store", 1));
+		FollowPlans plans = new FollowPlans();
 		StreamFollowers followers = own(new StreamFollowers());
-		MeshDuty mesh = own(new MeshDuty(this.self, settings.meshAddress(), this.status, this.decisions, followers));
+		MeshDuty mesh = own(
+				new MeshDuty(this.self, settings.meshAddress(), this.status, this.decisions, followers, plans));
 		ForwardCallDuty calls = own(new ForwardCallDuty(this.caller, new InstanceCodec(), this.decisions));
 		this.frontEnd = own(
 				new ForwardFrontEnd(settings.host(), forwardSettings(), new CallerCodec(), this.decisions, pages()));
-		KeyedStore store = new HttpKeyedStore(this.storeCaller, settings.storeAddress());
-		RecordWriter records = new RecordWriter(store, this.ticker);
+		KeyedStore store = connectStore();
+		RecordWriter records = new RecordWriter(store, this.ticker::after);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
 				this.drained::countDown));
 		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
-		Consumer<StreamUpdate> sendUpdate = (update) -> mesh.offer(new SendStreamUpdate(update));
-		BiFunction<FollowPlan, KeyedListener, KeyedFollower> follow = (plan, listener) -> new KeyedFollower(store, plan,
-				this.ticker, listener, sendUpdate);
-		followers.add(KeyedStream.OPERATORS,
-				follow.apply(OPERATORS_PLAN, new OperatorRecordListener(this.decisions, this.status)));
-		followers.add(KeyedStream.INSTANCES, follow.apply(INSTANCES_PLAN,
-				new InstanceRecordListener(this.decisions, this.status, System::nanoTime)));
-		followers.add(KeyedStream.MEMBERS,
-				follow.apply(MEMBERS_PLAN, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
-						(changes) -> this.decisions.offer(changes, Urgency.CONTROL))));
-		records.put(this.self.host(), MemberRecordCodec.encode(this.self));
+		MeshStreams peers = new MeshStreams(mesh);
+		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream,
+				new KeyedFollower(store, () -> plans.plan(stream), this.ticker, listener, peers));
+		follow.accept(KeyedStream.OPERATORS, new OperatorRecordListener(this.decisions, this.status));
+		follow.accept(KeyedStream.INSTANCES, new InstanceRecordListener(this.decisions, this.status, System::nanoTime));
+		Announcement announcement = new Announcement(this.self,
+				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
+		follow.accept(KeyedStream.MEMBERS, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
+				(changes) -> this.decisions.offer(changes, Urgency.CONTROL), announcement::onNewest));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -234,6 +220,12 @@
 						() -> new PageContent(OK, "text/plain; version=0.0.4; charset=utf-8", this.metrics.page())));
 	}
 
+	private KeyedStore connectStore() {
+		return new GuardedStore(
+				new CountedStore(new HttpKeyedStore(this.storeCaller, this.settings.storeAddress()), this.metrics),
+				System::nanoTime, new Random());
+	}
+
 	private static String hostAndPort(InetSocketAddress address) {
 		return address.getHostString() + ":" + address.getPort();
 	}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -10,6 +11,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.decision.forward.LogDecision;
 
 /**
@@ -38,6 +40,16 @@
 		.labelNames("decision")
 		.register(this.registry);
 
+	private final Counter storeCalls = Counter.builder()
+		.name("rattanhead_store_calls_total")
+		.help("Calls to the platform's store that have ended, by stream, kind and outcome")
+		.labelNames("stream", "kind", "outcome")
+		.register(this.registry);
+
+	void countStoreCall(KeyedStream stream, String kind, boolean succeeded) {
+		this.storeCalls.labelValues(stream.name().toLowerCase(Locale.ROOT), kind, succeeded ? "ok" : "failed").inc();
+	}
+
 	void count(LogDecision command) {
 		this.decisions.labelValues(command.decision()).inc();
 		command.inputs()
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -22,6 +22,7 @@
 import org.rattanhead.decision.forward.ReserveTicket;
 import org.rattanhead.decision.forward.StoreSuspect;
 import org.rattanhead.http.forward.ForwardReplyWriter;
+import org.rattanhead.platform.keyed.RecordWriter;
 import org.rattanhead.upstream.forward.ForwardCallDuty;
 
 /**
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
@@ -44,8 +44,17 @@
 		this.otherServingMembers = newOtherServingMembers;
 	}
 
+	/**
+	 * Returns whether this daemon has a configuration and the instances, without which it
+	 * sends no requests.
+	 * @return true if it has both
+	 */
+	boolean loaded() {
+		return this.configured && this.instancesLoaded;
+	}
+
 	boolean ready() {
-		return this.configured && this.instancesLoaded && !this.draining;
+		return loaded() && !this.draining;
 	}
 
 	/**
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
@@ -20,14 +20,19 @@
 
 	private final Consumer<StoredSuspectsChanged> onSuspects;
 
-	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects) {
+	private final Consumer<List<KeyedRecord>> onNewest;
+
+	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects,
+			Consumer<List<KeyedRecord>> onNewest) {
 		this.onMember = onMember;
 		this.onSuspects = onSuspects;
+		this.onNewest = onNewest;
 	}
 
 	@Override
 	public void onNewest(List<KeyedRecord> records) {
 		onChanges(records);
+		this.onNewest.accept(records);
 	}
 
 	@Override
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -1,6 +1,8 @@
 package org.rattanhead.daemon.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -15,6 +17,7 @@
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ServerNotice;
+import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.PeerCountChanged;
@@ -29,6 +32,7 @@
 import org.rattanhead.decision.register.ServingDecider;
 import org.rattanhead.peer.mesh.MeshListener;
 import org.rattanhead.peer.mesh.MeshNetwork;
+import org.rattanhead.platform.keyed.FollowPlans;
 import org.rattanhead.ring.Duty;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
@@ -42,6 +46,11 @@
 
 	private static final int RING_SLOTS = 4_096;
 
+	/** The daemons asked at a time for the records of a stream; some may not answer. */
+	private static final int SUPPLIERS_ASKED = 3;
+
+	private final Random random = new Random();
+
 	private final Member self;
 
 	private final GatewayStatus status;
@@ -50,6 +59,8 @@
 
 	private final StreamFollowers followers;
 
+	private final FollowPlans plans;
+
 	private final MemberTable table;
 
 	private final MeshNetwork network;
@@ -67,11 +78,12 @@
 	private long heartbeatCount;
 
 	MeshDuty(Member self, InetSocketAddress address, GatewayStatus status, EventSink<ForwardEvent> decisions,
-			StreamFollowers followers) {
+			StreamFollowers followers, FollowPlans plans) {
 		this.self = self;
 		this.status = status;
 		this.decisions = decisions;
 		this.followers = followers;
+		this.plans = plans;
 		this.table = new MemberTable(self);
 		HandlerTable<MeshEvent, Boolean> handlers = sendHandlers().on(MemberAnnounced.class, (event, now) -> {
 			this.table.add(event.member(), now);
@@ -80,7 +92,21 @@
 			.on(HeartbeatReceived.class, (event, now) -> receiveHeartbeat(event.heartbeat(), now))
 			.on(SendHeartbeat.class, (event, now) -> heartbeatDue(event, now))
 			.on(StreamUpdateReceived.class, (event, now) -> {
-				this.followers.receiveUpdate(this.table.readsFor(event.host(), this.serving), event.update());
+				this.followers.receiveUpdate(event.host(), this.table.readsFor(event.host(), this.serving),
+						event.update());
+				return true;
+			})
+			.on(SnapshotRequestReceived.class, (event, now) -> {
+				this.followers.receiveSnapshotRequest(event.host(), event.stream());
+				return true;
+			})
+			.on(SnapshotReceived.class, (event, now) -> {
+				this.followers.receiveSnapshot(event.snapshot());
+				return true;
+			})
+			.on(RequestSnapshot.class, (event, now) -> requestSnapshot(event))
+			.on(SendSnapshot.class, (event, now) -> {
+				network().sendSnapshot(this.table.find(event.host()).stream().toList(), event.snapshot());
 				return true;
 			})
 			.covering(MeshEvent.class);
@@ -145,6 +171,31 @@
 		offer(new StreamUpdateReceived(host, update));
 	}
 
+	@Override
+	public void onSnapshotRequest(String host, KeyedStream stream) {
+		offer(new SnapshotRequestReceived(host, stream));
+	}
+
+	@Override
+	public void onSnapshot(StreamUpdate snapshot) {
+		offer(new SnapshotReceived(snapshot));
+	}
+
+	private boolean requestSnapshot(RequestSnapshot event) {
+		List<Member> candidates = this.table.find(event.host()).map(List::of).orElseGet(this.table::serving);
+		List<Member> receivers = new ArrayList<>(candidates.isEmpty() ? this.table.recipients() : candidates);
+		Collections.shuffle(receivers, this.random);
+		List<Member> asked = receivers.subList(0, Math.min(SUPPLIERS_ASKED, receivers.size()));
+		// A daemon that has just started may not be known to those that it asks. A daemon
+		// that has all records has load that an empty heartbeat would end.
+		if (!this.status.loaded()) {
+			this.network.sendHeartbeat(asked,
+					new MemberHeartbeat(this.self, false, this.serving, 0, List.of(), List.of(), List.of()));
+		}
+		this.network.sendSnapshotRequest(asked, event.stream());
+		return true;
+	}
+
 	private MeshNetwork network() {
 		return this.network;
 	}
@@ -179,6 +230,7 @@
 		boolean servedBefore = this.serving;
 		this.serving = this.table.updateServing(this.servingDecider, nowNanos);
 		publishServing();
+		this.plans.updateFleetSize(1 + this.table.recipients().size());
 		this.heartbeatCount++;
 		if (servedBefore != this.serving) {
 			LOGGER.info("peer: this daemon {}; {} others serve", this.serving ? "serves" : "stands by",
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
@@ -1,6 +1,7 @@
 package org.rattanhead.daemon.gateway;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.rattanhead.core.keyed.KeyedStream;
@@ -8,24 +9,47 @@
 import org.rattanhead.platform.keyed.KeyedFollower;
 
 /**
- * The followers of the platform's streams. Updates received before their follower has
+ * The followers of the platform's streams. Messages received before their follower has
  * started are dropped, since the follower reads the stream anyway.
  */
 final class StreamFollowers implements AutoCloseable {
 
 	private final Map<KeyedStream, KeyedFollower> followers = new ConcurrentHashMap<>();
 
+	private volatile boolean peersKnown;
+
 	void add(KeyedStream stream, KeyedFollower follower) {
 		this.followers.put(stream, follower);
 	}
 
-	void receiveUpdate(boolean readsForSelf, StreamUpdate update) {
-		KeyedFollower follower = this.followers.get(update.stream());
-		if (follower != null) {
-			follower.receive(readsForSelf, update);
+	void receiveUpdate(String host, boolean readsForSelf, StreamUpdate update) {
+		find(update.stream()).ifPresent((follower) -> follower.receive(host, readsForSelf, update));
+		if (!this.peersKnown) {
+			find(KeyedStream.MEMBERS).ifPresent((follower) -> follower.peerHeard(host));
 		}
 	}
 
+	void receiveSnapshot(StreamUpdate snapshot) {
+		find(snapshot.stream()).ifPresent((follower) -> follower.receiveSnapshot(snapshot));
+	}
+
+	void receiveSnapshotRequest(String host, KeyedStream stream) {
+		find(stream).ifPresent((follower) -> follower.receiveSnapshotRequest(host));
+	}
+
+	/**
+	 * Tells the followers that the announcements of the other daemons were read.
+	 * @param others whether there are any
+	 */
+	void onPeersKnown(boolean others) {
+		this.peersKnown = true;
+		this.followers.forEach((stream, follower) -> follower.peersKnown(others));
+	}
+
+	private Optional<KeyedFollower> find(KeyedStream stream) {
+		return Optional.ofNullable(this.followers.get(stream));
+	}
+
 	@Override
 	public void close() {
 		this.followers.values().forEach(KeyedFollower::close);
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
@@ -24,7 +24,9 @@
 
 	private final List<StoredSuspectsChanged> changes = new ArrayList<>();
 
-	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add);
+	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add,
+			(records) -> {
+			});
 
 	@ParameterizedTest(name = "suspect {0}, blocked {1}")
 	@CsvSource({ "0, true", "7, true", "7, false", "-1, true", "96483650265325, false", "-9223372036854775808, true" })
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
@@ -12,6 +12,7 @@
 import org.rattanhead.core.problem.RemedyException;
 import org.rattanhead.platform.keyed.KeyedPage;
 import org.rattanhead.platform.keyed.KeyedStore;
+import org.rattanhead.platform.keyed.RecordWriter;
 import org.rattanhead.ring.Ticker;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -52,7 +53,7 @@
 	@CsvSource({ "false, k=blocked", "true, k=" })
 	void writesTheNewestValueOnceTheStoreReturns(boolean deleted, String expected) throws Exception {
 		try (Ticker ticker = new Ticker("test")) {
-			RecordWriter writer = new RecordWriter(this.store, ticker);
+			RecordWriter writer = new RecordWriter(this.store, ticker::after);
 			writer.put("k", SuspectRecordCodec.BLOCKED);
 			if (deleted) {
 				writer.delete("k");
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
@@ -1,10 +1,10 @@
 package org.rattanhead.decision.register;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -43,23 +43,9 @@
 	 */
 	private static final long OMITTED_TIMEOUT_NANOS = Millis.toNanos(1_500);
 
-	/** The number of serving daemons that send heartbeats to each standby daemon. */
-	private static final int SERVERS_PER_STANDBY = 2;
-
 	/** The most addresses that callers use, as specified by the platform. */
 	private static final int MAX_ADVERTISED_DAEMONS = 64;
 
-	/**
-	 * Orders hosts by hash, which mixes failure domains and is the same on all daemons.
-	 */
-	private static final Comparator<String> HOST_ORDER = Comparator.<String>comparingInt(String::hashCode)
-		.thenComparing(Comparator.naturalOrder());
-
-	/** Orders daemons by processor time, then by host. */
-	private static final Comparator<Member> SERVING_ORDER = Comparator.comparingInt(Member::processorMillicores)
-		.reversed()
-		.thenComparing(Member::host, HOST_ORDER);
-
 	private final Member self;
 
 	private final Map<String, MemberState> members = new HashMap<>();
@@ -164,7 +150,8 @@
 	}
 
 	private boolean expectsHeartbeatsFrom(MemberState state) {
-		return state.serving() || isAssigned(sortedServing(this.self.host()), this.self.host(), state.member().host());
+		return state.serving()
+				|| MemberOrder.isAssigned(sortedServing(this.self.host()), this.self.host(), state.member().host());
 	}
 
 	/**
@@ -175,6 +162,15 @@
 		return this.members.values().stream().map(MemberState::member).toList();
 	}
 
+	/**
+	 * Finds another daemon.
+	 * @param host its host
+	 * @return the daemon, empty if it is not known
+	 */
+	public Optional<Member> find(String host) {
+		return Optional.ofNullable(this.members.get(host)).map(MemberState::member);
+	}
+
 	/**
 	 * Returns the other daemons that are advertised to callers: those that are alive,
 	 * ready and serving.
@@ -214,7 +210,7 @@
 			.stream()
 			.filter((state) -> !exchangesLoad(state))
 			.map(MemberState::member)
-			.filter((member) -> isAssigned(servers, this.self.host(), member.host()))
+			.filter((member) -> MemberOrder.isAssigned(servers, this.self.host(), member.host()))
 			.toList();
 	}
 
@@ -225,7 +221,9 @@
 	 */
 	public List<Member> assignedServers() {
 		List<String> servers = sortedServing(null);
-		return serving().stream().filter((member) -> isAssigned(servers, member.host(), this.self.host())).toList();
+		return serving().stream()
+			.filter((member) -> MemberOrder.isAssigned(servers, member.host(), this.self.host()))
+			.toList();
 	}
 
 	private List<String> sortedServing(String additional) {
@@ -233,15 +231,10 @@
 		if (additional != null) {
 			hosts.add(additional);
 		}
-		hosts.sort(HOST_ORDER);
+		hosts.sort(MemberOrder.HOST_ORDER);
 		return hosts;
 	}
 
-	private static boolean isAssigned(List<String> servers, String server, String host) {
-		int first = Math.floorMod(host.hashCode(), servers.size());
-		return Math.floorMod(servers.indexOf(server) - first, servers.size()) < SERVERS_PER_STANDBY;
-	}
-
 	/**
 	 * Decides whether this daemon serves.
 	 * @param decider the decider of this daemon
@@ -250,7 +243,9 @@
 	 */
 	public boolean updateServing(ServingDecider decider, long nowNanos) {
 		List<Member> serving = serving();
-		int preceding = (int) serving.stream().filter((member) -> SERVING_ORDER.compare(member, this.self) < 0).count();
+		int preceding = (int) serving.stream()
+			.filter((member) -> MemberOrder.SERVING_ORDER.compare(member, this.self) < 0)
+			.count();
 		boolean weaker = serving.stream()
 			.anyMatch((member) -> member.processorMillicores() < this.self.processorMillicores());
 		return decider.update(
@@ -268,8 +263,8 @@
 			return true;
 		}
 		MemberState state = this.members.get(host);
-		return (state != null) ? SERVING_ORDER.compare(state.member(), this.self) < 0
-				: HOST_ORDER.compare(host, this.self.host()) < 0;
+		return (state != null) ? MemberOrder.SERVING_ORDER.compare(state.member(), this.self) < 0
+				: MemberOrder.HOST_ORDER.compare(host, this.self.host()) < 0;
 	}
 
 	/**
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -1,21 +1,14 @@
 package org.rattanhead.peer.internal;
 
-import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 
-import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.CrashReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ServerNotice;
-import org.rattanhead.core.keyed.KeyedRecord;
-import org.rattanhead.core.keyed.KeyedStream;
-import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshBeat;
 import org.rattanhead.messages.MeshCrashes;
 import org.rattanhead.messages.MeshDatagram;
@@ -24,14 +17,11 @@
 import org.rattanhead.messages.MeshLoadStarted;
 import org.rattanhead.messages.MeshMember;
 import org.rattanhead.messages.MeshNotice;
-import org.rattanhead.messages.MeshRecord;
-import org.rattanhead.messages.MeshRecords;
-import org.rattanhead.messages.MeshStreamNews;
 import org.rattanhead.peer.mesh.MeshListener;
 
 /**
- * Encodes and decodes the heartbeats, load updates and stream updates that daemons send
- * each other.
+ * Encodes and decodes the heartbeats and load updates that daemons send each other.
+ * Messages about streams are left to {@link StreamMessageCodec}.
  */
 public final class MeshCodec {
 
@@ -115,28 +105,6 @@
 			.build();
 	}
 
-	/**
-	 * Encodes an update of a stream.
-	 * @param host the host of the sender
-	 * @param update the update
-	 * @return the datagram
-	 */
-	public static MeshDatagram encodeStreamUpdate(String host, StreamUpdate update) {
-		MeshRecords.Builder records = MeshRecords.newBuilder();
-		for (KeyedRecord record : update.records()) {
-			MeshRecord.Builder encodedRecord = MeshRecord.newBuilder().setKey(record.key());
-			record.value().ifPresent((value) -> encodedRecord.setValue(ByteString.copyFrom(value.bytes())));
-			records.addRecords(encodedRecord);
-		}
-		MeshStreamNews encoded = MeshStreamNews.newBuilder()
-			.setStream(update.stream().name())
-			.setFromOffset(update.fromOffset())
-			.setNextOffset(update.nextOffset())
-			.setPackedRecords(ByteString.copyFrom(RecordCompression.compress(records.build().toByteArray())))
-			.build();
-		return MeshDatagram.newBuilder().setHost(host).setStreamNews(encoded).build();
-	}
-
 	/**
 	 * Decodes a datagram and passes it to the listener. A datagram without a known body
 	 * is dropped, since a later version may have sent it.
@@ -153,7 +121,7 @@
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
 			case CRASHES -> listener.onCrashes(CrashReportCodec.decode(datagram.getCrashes().getCrashesList()));
 			case NOTICE -> deliver(datagram.getNotice(), listener);
-			case STREAM_NEWS -> deliver(datagram.getHost(), datagram.getStreamNews(), listener);
+			case STREAM_NEWS -> StreamMessageCodec.deliver(datagram.getHost(), datagram.getStreamNews(), listener);
 			default -> {
 				// Body of a later version.
 			}
@@ -174,27 +142,6 @@
 				message.getNamedList().stream().map(MeshCodec::decode).toList());
 	}
 
-	private static void deliver(String host, MeshStreamNews message, MeshListener listener)
-			throws InvalidProtocolBufferException {
-		List<KeyedRecord> records = MeshRecords
-			.parseFrom(RecordCompression.decompress(message.getPackedRecords().toByteArray()))
-			.getRecordsList()
-			.stream()
-			.map(MeshCodec::decode)
-			.toList();
-		// Streams unknown to this version are ignored; a later version may have sent
-		// them.
-		Arrays.stream(KeyedStream.values())
-			.filter((stream) -> stream.name().equals(message.getStream()))
-			.forEach((stream) -> listener.onStreamUpdate(host,
-					new StreamUpdate(stream, message.getFromOffset(), message.getNextOffset(), records)));
-	}
-
-	private static KeyedRecord decode(MeshRecord record) {
-		return new KeyedRecord(record.getKey(),
-				record.hasValue() ? Optional.of(new Payload(record.getValue().toByteArray())) : Optional.empty());
-	}
-
 	private static MeshMember encode(Member member) {
 		return MeshMember.newBuilder()
 			.setHost(member.host())
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
@@ -6,6 +6,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ServerNotice;
+import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 
 /**
@@ -55,4 +56,17 @@
 	 */
 	void onStreamUpdate(String host, StreamUpdate update);
 
+	/**
+	 * Another daemon requested the newest records of a stream.
+	 * @param host the host name of the sending daemon
+	 * @param stream the stream
+	 */
+	void onSnapshotRequest(String host, KeyedStream stream);
+
+	/**
+	 * Another daemon sent the newest records of a stream.
+	 * @param snapshot the newest record of each key
+	 */
+	void onSnapshot(StreamUpdate snapshot);
+
 }
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -28,9 +28,11 @@
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.host.HostAddress;
+import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.peer.internal.MeshCodec;
+import org.rattanhead.peer.internal.StreamMessageCodec;
 
 /**
  * Sends and receives datagrams. Sending never blocks. A datagram may be lost; the next
@@ -132,7 +134,25 @@
 	 * @param update the update
 	 */
 	public void sendStreamUpdate(List<Member> receivers, StreamUpdate update) {
-		send(receivers, MeshCodec.encodeStreamUpdate(this.self, update));
+		send(receivers, StreamMessageCodec.encodeUpdate(this.self, update));
+	}
+
+	/**
+	 * Requests the newest records of a stream.
+	 * @param receivers the daemons to request them from
+	 * @param stream the stream
+	 */
+	public void sendSnapshotRequest(List<Member> receivers, KeyedStream stream) {
+		send(receivers, StreamMessageCodec.encodeRequest(this.self, stream));
+	}
+
+	/**
+	 * Sends the newest records of a stream.
+	 * @param receivers the daemons to send them to
+	 * @param snapshot the newest record of each key
+	 */
+	public void sendSnapshot(List<Member> receivers, StreamUpdate snapshot) {
+		send(receivers, StreamMessageCodec.encodeSnapshot(this.self, snapshot));
 	}
 
 	private void send(List<Member> receivers, MeshDatagram datagram) {
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -30,6 +30,7 @@
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshStreamNews;
+import org.rattanhead.peer.internal.StreamMessageCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -71,6 +72,16 @@
 		public void onStreamUpdate(String host, StreamUpdate update) {
 			MeshNetworkTests.this.received.add(update);
 		}
+
+		@Override
+		public void onSnapshotRequest(String host, KeyedStream stream) {
+			MeshNetworkTests.this.received.add(List.of(host, stream));
+		}
+
+		@Override
+		public void onSnapshot(StreamUpdate snapshot) {
+			MeshNetworkTests.this.received.add(List.of("snapshot", snapshot));
+		}
 	};
 
 	@ParameterizedTest(name = "{0} entries")
@@ -127,6 +138,28 @@
 		}
 	}
 
+	/** Guards against requests and snapshots that earlier versions take for updates. */
+	@ParameterizedTest(name = "{0}, {1} records")
+	@CsvSource({ "OPERATORS, 1", "INSTANCES, 60", "MEMBERS, 0" })
+	void deliversSnapshotsAndRequests(KeyedStream stream, int count) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		List<KeyedRecord> records = IntStream.range(0, count)
+			.mapToObj((index) -> new KeyedRecord("k" + index, Optional.of(Payload.of("v" + index))))
+			.toList();
+		StreamUpdate snapshot = new StreamUpdate(stream, 9, 9, records);
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.sendSnapshotRequest(List.of(member), stream);
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("peer", stream));
+			network.sendSnapshot(List.of(member), snapshot);
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("snapshot", snapshot));
+		}
+		assertThat(KeyedStream.values()).noneMatch((known) -> known.name()
+			.equals(StreamMessageCodec.encodeSnapshot("peer", snapshot).getStreamNews().getStream()));
+		assertThat(KeyedStream.values()).noneMatch((known) -> known.name()
+			.equals(StreamMessageCodec.encodeRequest("peer", stream).getStreamNews().getStream()));
+	}
+
 	@ParameterizedTest(name = "{0} bytes that are no records")
 	@ValueSource(ints = { 0, 1, 500 })
 	void dropsDamagedStreamUpdate(int length) throws Exception {
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/FollowEvent.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/FollowEvent.java
@@ -1,8 +1,9 @@
 package org.rattanhead.platform.keyed;
 
 /**
- * An input of {@link KeyedFollower}.
+ * An input of {@link StreamReader}.
  */
-sealed interface FollowEvent permits ReadDue, PageArrived, ReadFailed, UpdateReceived {
+sealed interface FollowEvent permits ReadDue, PageArrived, ReadFailed, UpdateReceived, PeersKnown, RequestDue,
+		PeerHeard, SnapshotRequested, SnapshotReceived {
 
 }
--- /dev/null
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PeerHeard.java
@@ -0,0 +1,9 @@
+package org.rattanhead.platform.keyed;
+
+/**
+ * Another daemon, which reads the store, sent a message about another stream.
+ *
+ * @param host the host of that daemon
+ */
+record PeerHeard(String host) implements FollowEvent {
+}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
@@ -1,6 +1,7 @@
 package org.rattanhead.platform.keyed;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -23,6 +24,25 @@
 	 */
 	private static final long MAX_RETRY_MILLIS = 1_200;
 
+	/**
+	 * The minimum time that a daemon without records waits for those of others. An answer
+	 * takes milliseconds; the rest is for a slow host.
+	 */
+	private static final long PEER_WAIT_MILLIS = 150;
+
+	/**
+	 * The random addition to that time. Of daemons that start together, the first reads
+	 * and the others receive its records. 600 ms leave 20 ms between the first two of 28.
+	 */
+	private static final long PEER_WAIT_SPREAD_MILLIS = 600;
+
+	/**
+	 * The pause between the newest records and the first changes, unless the yield time
+	 * is shorter. A daemon may begin to send updates at its first heartbeat, 700 ms after
+	 * its start. By then one of the daemons that start together reads for the others.
+	 */
+	private static final long FIRST_CHANGES_MILLIS = 800;
+
 	private static final int MAX_DOUBLINGS = 5;
 
 	/**
@@ -31,7 +51,7 @@
 	 */
 	private static final double SPREAD_SHARE = 0.3;
 
-	private final FollowPlan plan;
+	private final Supplier<FollowPlan> plan;
 
 	private final RandomGenerator random;
 
@@ -41,21 +61,42 @@
 
 	private long yieldUntilNanos;
 
+	private long currentUntilNanos;
+
 	private int failures;
 
 	/**
-	 * Creates the schedule of one daemon for one stream; the first read is due
-	 * immediately.
+	 * Creates the schedule of one daemon for one stream. The first read is due
+	 * immediately, unless other daemons get time to send what they have read.
 	 * @param plan the timing of reads
 	 * @param random spreads the reads of the daemons in time
 	 * @param nowNanos the time on the monotonic clock
 	 */
-	ReadSchedule(FollowPlan plan, RandomGenerator random, long nowNanos) {
+	ReadSchedule(Supplier<FollowPlan> plan, RandomGenerator random, long nowNanos) {
 		this.plan = plan;
 		this.random = random;
-		this.dueNanos = nowNanos;
+		this.dueNanos = nowNanos + (plan.get().asksPeers() ? TimeUnit.MILLISECONDS
+			.toNanos(PEER_WAIT_MILLIS + Math.round(PEER_WAIT_SPREAD_MILLIS * random.nextDouble())) : 0);
 		this.readerUntilNanos = nowNanos;
 		this.yieldUntilNanos = nowNanos;
+		this.currentUntilNanos = nowNanos;
+	}
+
+	/**
+	 * Schedules the next read after this daemon has read the newest records. Of daemons
+	 * that start together, the first that is due reads for the others. Without a yield
+	 * time there are no others.
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void newestRead(long nowNanos) {
+		if (this.plan.get().yieldMillis() == 0) {
+			readCompleted(nowNanos);
+			return;
+		}
+		this.failures = 0;
+		markCurrent(nowNanos);
+		this.dueNanos = Math.max(this.yieldUntilNanos,
+				nowNanos + spread(Math.min(FIRST_CHANGES_MILLIS, this.plan.get().yieldMillis())));
 	}
 
 	/**
@@ -64,24 +105,27 @@
 	 */
 	void readCompleted(long nowNanos) {
 		this.failures = 0;
+		markCurrent(nowNanos);
 		if (nowNanos < this.yieldUntilNanos) {
 			this.dueNanos = this.yieldUntilNanos;
 			return;
 		}
-		this.dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(this.plan.periodMillis());
+		this.dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(this.plan.get().periodMillis());
 		this.readerUntilNanos = this.dueNanos
-				+ TimeUnit.MILLISECONDS.toNanos(this.plan.waitMillis() + this.plan.yieldMillis());
+				+ TimeUnit.MILLISECONDS.toNanos(this.plan.get().waitMillis() + this.plan.get().yieldMillis());
 	}
 
 	/**
-	 * Schedules the next read after a read of this daemon failed.
+	 * Schedules the next read after a read of this daemon failed. While other daemons
+	 * send updates, this daemon does not need to read.
 	 * @param nowNanos the time on the monotonic clock
+	 * @param called whether the store was called; if not, trying again is free
 	 */
-	void readFailed(long nowNanos) {
-		long pauseMillis = Math.min(RETRY_MILLIS << Math.min(this.failures, MAX_DOUBLINGS),
-				Math.max(MAX_RETRY_MILLIS, this.plan.periodMillis()));
-		this.failures++;
-		this.dueNanos = nowNanos + spread(pauseMillis);
+	void readFailed(long nowNanos, boolean called) {
+		long pauseMillis = !called ? RETRY_MILLIS : Math.min(RETRY_MILLIS << Math.min(this.failures, MAX_DOUBLINGS),
+				Math.max(MAX_RETRY_MILLIS, this.plan.get().periodMillis()));
+		this.failures += called ? 1 : 0;
+		this.dueNanos = Math.max(nowNanos + spread(pauseMillis), this.yieldUntilNanos);
 		this.readerUntilNanos = nowNanos;
 	}
 
@@ -92,8 +136,9 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	void updateReceived(boolean senderHasPriority, long nowNanos) {
+		markCurrent(nowNanos);
 		if (!isReader(nowNanos) || senderHasPriority) {
-			this.yieldUntilNanos = nowNanos + spread(this.plan.yieldMillis());
+			this.yieldUntilNanos = nowNanos + spread(this.plan.get().yieldMillis());
 			this.dueNanos = this.yieldUntilNanos;
 			this.readerUntilNanos = nowNanos;
 		}
@@ -108,6 +153,21 @@
 		return nowNanos < this.readerUntilNanos;
 	}
 
+	/**
+	 * Returns whether this daemon has read the stream, or received an update, within the
+	 * time after which it would read for itself.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if its records may be sent to others
+	 */
+	boolean isCurrent(long nowNanos) {
+		return nowNanos < this.currentUntilNanos;
+	}
+
+	private void markCurrent(long nowNanos) {
+		this.currentUntilNanos = nowNanos
+				+ TimeUnit.MILLISECONDS.toNanos(this.plan.get().waitMillis() + this.plan.get().yieldMillis());
+	}
+
 	/**
 	 * Makes the next read due immediately.
 	 * @param nowNanos the time on the monotonic clock
--- /dev/null
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/RequestDue.java
@@ -0,0 +1,7 @@
+package org.rattanhead.platform.keyed;
+
+/**
+ * A snapshot may have to be requested again.
+ */
+record RequestDue() implements FollowEvent {
+}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -172,10 +172,10 @@
 			records.add(new KeyedRecord("n" + offset, Optional.of(Payload.of("v"))));
 		}
 		answer.complete(new KeyedPage(List.of(record("a"), record("b"), record("c")), 8, false, false));
-		follow(new FollowPlan(KeyedStream.OPERATORS, 60_000, WAIT_MILLIS, 60_000), (follower) -> {
+		follow(new FollowPlan(KeyedStream.OPERATORS, 60_000, WAIT_MILLIS, 60_000, false), (follower) -> {
 			expectReads("newest ");
 			assertThat(this.notifications.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 1");
-			follower.receive(true, new StreamUpdate(KeyedStream.OPERATORS, from, next, records));
+			follower.receive("other", true, new StreamUpdate(KeyedStream.OPERATORS, from, next, records));
 			if (!read.isEmpty()) {
 				expectReads(read);
 			}
@@ -220,12 +220,12 @@
 	}
 
 	private void follow(Check check) throws Exception {
-		follow(new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS, 0), (follower) -> check.run());
+		follow(new FollowPlan(KeyedStream.OPERATORS, 1, WAIT_MILLIS, 0, false), (follower) -> check.run());
 	}
 
 	private void follow(FollowPlan plan, FollowerCheck check) throws Exception {
 		try (Ticker ticker = new Ticker("test");
-				KeyedFollower follower = new KeyedFollower(this.store, plan, ticker, this.listener,
+				KeyedFollower follower = new KeyedFollower(this.store, () -> plan, ticker, this.listener,
 						this.updates::add)) {
 			check.run(follower);
 		}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
@@ -18,7 +18,7 @@
  */
 class ReadScheduleTests {
 
-	private static final FollowPlan PLAN = new FollowPlan(KeyedStream.OPERATORS, 200, 700, 1_000);
+	private static final FollowPlan PLAN = new FollowPlan(KeyedStream.OPERATORS, 200, 700, 1_000, false);
 
 	private static final long CHANGE_BOUND_MILLIS = 2_000;
 
@@ -48,9 +48,9 @@
 	@ParameterizedTest(name = "after {0} failures within {1} ms")
 	@CsvSource({ "1, 390", "2, 780", "3, 1560", "10, 1560" })
 	void boundsThePauseAfterFailures(int failures, long maxMillis) {
-		ReadSchedule schedule = new ReadSchedule(PLAN, new Random(1), 0);
+		ReadSchedule schedule = new ReadSchedule(() -> PLAN, new Random(1), 0);
 		for (int failure = 0; failure < failures; failure++) {
-			schedule.readFailed(0);
+			schedule.readFailed(0, true);
 		}
 		assertThat(schedule.delayMillis(0)).isBetween(1L, maxMillis);
 	}
@@ -73,7 +73,7 @@
 		Simulation(int daemons, int isolated) {
 			this.isolated = isolated;
 			for (int daemon = 0; daemon < daemons; daemon++) {
-				this.schedules.add(new ReadSchedule(PLAN, new Random(daemon), 0));
+				this.schedules.add(new ReadSchedule(() -> PLAN, new Random(daemon), 0));
 			}
 		}
 
