--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
@@ -73,13 +73,22 @@
 		this.otherServingMembers = newOtherServingMembers;
 	}
 
+	/**
+	 * Returns whether this daemon has a configuration and the instances, without which it
+	 * sends no requests.
+	 * @return true if it has both
+	 */
+	boolean loaded() {
+		return this.configured && this.instancesLoaded;
+	}
+
 	/**
 	 * Returns whether callers may use this gateway. It waits for the stored suspects,
 	 * since it would send the requests with which instances crash.
 	 * @return true if they may
 	 */
 	boolean ready() {
-		return this.configured && this.instancesLoaded && this.membersLoaded && !this.draining;
+		return loaded() && this.membersLoaded && !this.draining;
 	}
 
 	/**
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MemberRecordListener.java
@@ -20,18 +20,23 @@
 
 	private final Consumer<StoredSuspectsChanged> onSuspects;
 
+	private final Consumer<List<KeyedRecord>> onNewest;
+
 	private final GatewayStatus status;
 
-	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects, GatewayStatus status) {
+	MemberRecordListener(Consumer<Member> onMember, Consumer<StoredSuspectsChanged> onSuspects,
+			Consumer<List<KeyedRecord>> onNewest, GatewayStatus status) {
 		this.status = status;
 		this.onMember = onMember;
 		this.onSuspects = onSuspects;
+		this.onNewest = onNewest;
 	}
 
 	@Override
 	public void onNewest(List<KeyedRecord> records) {
 		try {
 			onChanges(records);
+			this.onNewest.accept(records);
 		}
 		finally {
 			this.status.markMembersLoaded();
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
@@ -28,7 +28,8 @@
 	private final GatewayStatus status = new GatewayStatus(new Member("self", 1, "10.0.0.9:80", "10.0.0.9:90", 0));
 
 	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add,
-			this.status);
+			(records) -> {
+			}, this.status);
 
 	@ParameterizedTest(name = "suspect {0}, blocked {1}")
 	@CsvSource({ "0, true", "7, true", "7, false", "-1, true", "96483650265325, false", "-9223372036854775808, true" })
