Announce when capacity is expected in refusals

Cause: each refusal told its caller to return after 300 ms. In a shortage, callers refused together returned together, and before there was capacity. Change: package decision.room estimates the earliest first token and completion of a request by the slots, memory and backlog of all accepting instances (CapacityEstimate), and announces the wait with jitter from the seeded generator, between 200 ms and a third of the remaining time (RetrySchedule). CapacityRules applies it to refusals of requests that no instance ran, only while no instance can begin a short prompt or a call within the shortest target latency of the service. Otherwise the constant stays, as does the pause that instances ask for. docs/design/retry-timing.md.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
@@ -10,6 +10,7 @@
  */
 final class AttemptProblems {
 
+	/** Announced if the refusal has nothing to do with capacity. */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	private AttemptProblems() {
@@ -41,11 +42,12 @@
 	/**
 	 * Returns the problem of a request that no instance has run.
 	 * @param detail what happened
-	 * @param quietMillis how long no instance wants requests, in milliseconds
+	 * @param retryAfterMillis when an instance is expected to accept the request, in
+	 * milliseconds; empty if unknown
 	 * @return the problem
 	 */
-	static Problem notRun(String detail, OptionalLong quietMillis) {
-		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, quietMillis.orElse(RETRY_AFTER_MILLIS));
+	static Problem notRun(String detail, OptionalLong retryAfterMillis) {
+		return Problem.notRun(ProblemKind.NO_UPSTREAM, detail, retryAfterMillis.orElse(RETRY_AFTER_MILLIS));
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -215,7 +215,7 @@
 	 */
 	void refused(Forwarding forwarding, String detail, long nowNanos, List<ForwardCommand> commands) {
 		fail(forwarding, (forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail)
-				: AttemptProblems.notRun(detail, quietMillis(forwarding, nowNanos)), nowNanos, commands);
+				: AttemptProblems.notRun(detail, retryAfterMillis(forwarding, nowNanos)), nowNanos, commands);
 	}
 
 	/**
@@ -267,8 +267,10 @@
 			}
 			return;
 		}
-		fail(forwarding, (forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail + ".") : AttemptProblems
-			.notRun("No instance ran the request; last attempt: " + detail + ".", quietMillis(forwarding, nowNanos)),
+		fail(forwarding,
+				(forwarding.runs() > 0) ? AttemptProblems.ran(forwarding, detail + ".")
+						: AttemptProblems.notRun("No instance ran the request; last attempt: " + detail + ".",
+								retryAfterMillis(forwarding, nowNanos)),
 				nowNanos, commands);
 	}
 
@@ -280,8 +282,8 @@
 		end(forwarding, nowNanos, commands);
 	}
 
-	private OptionalLong quietMillis(Forwarding forwarding, long nowNanos) {
-		return this.state.fleet().quietMillis(forwarding.service(), nowNanos);
+	private OptionalLong retryAfterMillis(Forwarding forwarding, long nowNanos) {
+		return this.dispatcher.capacity().retryAfterMillis(forwarding, nowNanos);
 	}
 
 	private void end(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -54,8 +54,15 @@
 
 	private final ForwardState state;
 
+	private final CapacityRules capacity;
+
 	Dispatcher(ForwardState state) {
 		this.state = state;
+		this.capacity = new CapacityRules(state);
+	}
+
+	CapacityRules capacity() {
+		return this.capacity;
 	}
 
 	/**
@@ -172,8 +179,9 @@
 	private boolean deadlineUnreachable(Forwarding forwarding, long nowNanos) {
 		Optional<EngineModel> engine = forwarding.service().engine();
 		long promptTokens = forwarding.request().tokens().orElse(NO_TOKENS).promptTokens();
-		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens, this.state.fleet()
-			.acceptingCount(forwarding.service(), nowNanos)) >= forwarding.remainingMillis(nowNanos);
+		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens,
+				this.state.fleet().accepting(forwarding.service(), nowNanos).size()) >= forwarding
+					.remainingMillis(nowNanos);
 	}
 
 	private Optional<PlacementPlan> plan(Forwarding forwarding, long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
@@ -21,7 +21,7 @@
 	private static final double MAX_SINGLE_READ_MILLIS = 180;
 
 	/** The protocol limit of helpers for one prompt. */
-	private static final int MAX_HELPERS = 16;
+	static final int MAX_HELPERS = 16;
 
 	/**
 	 * Engines with a longer backlog receive no parts, so that long prompts do not wait
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -18,6 +18,7 @@
  */
 final class ForwardAdmission {
 
+	/** These refusals have nothing to do with capacity. */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	private final ForwardState state;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -177,17 +177,17 @@
 	}
 
 	/**
-	 * Counts the registered instances of a service that accept new work, including
+	 * Lists the registered instances of a service that accept new work, including
 	 * recently failed ones.
 	 * @param service the service
 	 * @param nowNanos the time on the monotonic clock
-	 * @return the number
+	 * @return the instances
 	 */
-	int acceptingCount(ServiceLimits service, long nowNanos) {
-		return (int) this.instances.values()
+	List<InstanceLoad> accepting(ServiceLimits service, long nowNanos) {
+		return this.instances.values()
 			.stream()
 			.filter((load) -> load.instance().service().equals(service.name()) && acceptsWork(load, nowNanos))
-			.count();
+			.toList();
 	}
 
 	void place(String host, LoadEntry entry, long nowNanos) {
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/room/PromptNeed.java
@@ -0,0 +1,12 @@
+package org.rattanhead.decision.room;
+
+/**
+ * What a prompt needs of an engine.
+ *
+ * @param promptTokens the length of the prompt, in tokens
+ * @param answerTokens the expected length of the answer, in tokens
+ * @param maxReaders the most engines that read it together
+ * @param deferred whether engines admit it after all other requests
+ */
+public record PromptNeed(long promptTokens, long answerTokens, int maxReaders, boolean deferred) {
+}
