--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
@@ -80,11 +80,8 @@
 		return CapacityEstimate.ofPrompt(engine.get(), need, instances);
 	}
 
-	/**
-	 * Estimates the length of the answer. Without a hint it takes at most a share of the
-	 * remaining time, since a caller that allows little time expects a short answer.
-	 */
 	private static long answerTokens(Forwarding forwarding, EngineModel engine, long nowNanos) {
+		// A caller that allows little time, and gives no hint, expects a short answer.
 		long maxTokens = forwarding.request().tokens().orElseThrow().maxAnswerTokens();
 		double allowedTokens = UNHINTED_ANSWER_SHARE * forwarding.remainingMillis(nowNanos) / engine.stepMillis();
 		return Math.min(maxTokens,
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/room/CapacityEstimate.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/room/CapacityEstimate.java
@@ -112,11 +112,8 @@
 		return Math.max(0, Math.min(instance.taken(), Math.ceil(missingTokens / meanTokens))) * engine.slotMillis();
 	}
 
-	/**
-	 * Estimates the time until the last part of a prompt is read, for the best number of
-	 * engines that read it.
-	 */
 	private static double readMillis(EngineModel engine, PromptNeed need, List<InstanceOccupancy> instances) {
+		// The number of readers is chosen as for the earliest end of the last part.
 		List<InstanceOccupancy> idlest = instances.stream()
 			.sorted((left, right) -> Double.compare(left.backlogMillis(), right.backlogMillis()))
 			.limit(need.maxReaders())
