--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -54,8 +54,15 @@
 
 	private final ForwardState state;
 
+	private final CapacityRules capacity;
+
 	Dispatcher(ForwardState state) {
 		this.state = state;
+		this.capacity = new CapacityRules(state);
+	}
+
+	OptionalLong retryAfterMillis(Forwarding forwarding, long nowNanos) {
+		return this.capacity.retryAfterMillis(forwarding, nowNanos);
 	}
 
 	/**
@@ -78,6 +85,10 @@
 		if (outlastsShutdown(plan, nowNanos)) {
 			return DispatchResult.SHUTTING_DOWN;
 		}
+		Optional<DispatchResult> refusal = this.capacity.refusal(forwarding, plan, nowNanos, commands);
+		if (refusal.isPresent()) {
+			return refusal.get();
+		}
 		if (HoldRule.holds(forwarding, plan, remainingMillis, nowNanos)) {
 			forwarding.hold();
 			return DispatchResult.HELD;
@@ -172,8 +183,9 @@
 	private boolean deadlineUnreachable(Forwarding forwarding, long nowNanos) {
 		Optional<EngineModel> engine = forwarding.service().engine();
 		long promptTokens = forwarding.request().tokens().orElse(NO_TOKENS).promptTokens();
-		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens, this.state.fleet()
-			.acceptingCount(forwarding.service(), nowNanos)) >= forwarding.remainingMillis(nowNanos);
+		return engine.isPresent() && EnginePlacement.leastReadMillis(engine.get(), promptTokens,
+				this.state.fleet().accepting(forwarding.service(), nowNanos).size()) >= forwarding
+					.remainingMillis(nowNanos);
 	}
 
 	private Optional<PlacementPlan> plan(Forwarding forwarding, long nowNanos) {
@@ -208,7 +220,7 @@
 		return load;
 	}
 
-	private static boolean deferred(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+	static boolean deferred(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
 		return forwarding.service().engine().isPresent() && urgent(plan) && forwarding.elapsedMillis(nowNanos)
 				+ plan.firstTokenMillis() > forwarding.route().targetLatencyMillis();
 	}
