Order the requests of a service by their rank

Cause: the ranks of routes and grants were decoded and unused. Change: RankTable finds the distinct ranks in use by service. If there are several, the worth of a request halves with each more urgent one, the urgency at engines is by rank, length and deferral, held prompts are sent by rank and deadline, each rank leaves a part of the retry budget to those before it, and the log lines name the rank. Result: mvn -pl rattanhead-decision -am verify passes.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptLog.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptLog.java
@@ -42,11 +42,22 @@
 				forwarding.request().callerAttempt(), instance(forwarding), detail, inputs);
 	}
 
+	/**
+	 * Describes the rank of a request, if its service has several.
+	 * @param forwarding the request
+	 * @return the inputs, empty if all its requests have the same rank
+	 */
+	static List<DecisionInput> rank(Forwarding forwarding) {
+		return forwarding.rank().active() ? List.of(DecisionInput.of("rank", forwarding.rank().rank())) : List.of();
+	}
+
 	private static List<DecisionInput> progress(Forwarding forwarding, long nowNanos) {
-		return List.of(DecisionInput.of("attempt", forwarding.attempts()), DecisionInput.of("runs", forwarding.runs()),
-				DecisionInput.of("first_ms", forwarding.firstDataMillis()),
+		List<DecisionInput> inputs = new ArrayList<>(List.of(DecisionInput.of("attempt", forwarding.attempts()),
+				DecisionInput.of("runs", forwarding.runs()), DecisionInput.of("first_ms", forwarding.firstDataMillis()),
 				DecisionInput.of("elapsed_ms", forwarding.elapsedMillis(nowNanos)),
-				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos)));
+				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
+		inputs.addAll(rank(forwarding));
+		return inputs;
 	}
 
 	private static String instance(Forwarding forwarding) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -252,7 +252,8 @@
 		boolean continuable = !relay.started() || (relay.streamed() && forwarding.route().resumable());
 		return safe && continuable && forwarding.runs() < Math.max(1, forwarding.route().maxAttempts())
 				&& forwarding.attempts() < MAX_ATTEMPTS && forwarding.remainingMillis(nowNanos) > MIN_RETRY_MILLIS
-				&& (!wasSent || this.state.budget().allows(forwarding.service().name(), forwarding.worth(), nowNanos))
+				&& (!wasSent || this.state.budget()
+					.allows(forwarding.service().name(), forwarding.worth(), forwarding.rank(), nowNanos))
 				&& this.state.suspects().findBlocked(forwarding.request().crashKeys(), nowNanos).isEmpty();
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -14,6 +14,8 @@
 import org.rattanhead.core.forward.RouteKind;
 import org.rattanhead.core.forward.TokenCounts;
 import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.decision.rank.EngineRequest;
+import org.rattanhead.decision.rank.UrgencyRule;
 
 /**
  * Places requests on instances, sends them, and releases what an attempt occupies.
@@ -43,15 +45,6 @@
 	/** Prompts that take no longer to read are sent as urgent. */
 	private static final long MAX_URGENT_READ_MILLIS = 180;
 
-	private static final int HIGH_URGENCY = 2;
-
-	private static final int LOW_URGENCY = 6;
-
-	/**
-	 * For prompts whose target latency is missed anyway, so that they delay no others.
-	 */
-	private static final int DEFERRED_URGENCY = 8;
-
 	private final ForwardState state;
 
 	Dispatcher(ForwardState state) {
@@ -124,8 +117,8 @@
 		// id of this attempt.
 		boolean freshConnection = repeated || forwarding.route().kind() == RouteKind.AT_MOST_ONCE;
 		ForwardCall call = new ForwardCall(forwarding.attempt(), forwarding.request(), plan.primary().instance(),
-				forwarding.workspace(), forwarding.remainingMillis(nowNanos), urgency(plan, forwarding.deferred()),
-				helpers, resumeAfter, freshConnection);
+				forwarding.workspace(), forwarding.remainingMillis(nowNanos), urgency(forwarding, nowNanos), helpers,
+				resumeAfter, freshConnection);
 		forwarding.mayHaveRun();
 		forwarding.stage(ForwardStage.SENT, responseDeadline(forwarding, nowNanos));
 		forwarding.markSent(nowNanos);
@@ -184,7 +177,7 @@
 				forwarding.request().answerTokensHint().orElse(usual));
 		boolean settled = this.state.fleet().settled(nowNanos);
 		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected,
-				forwarding.elapsedMillis(nowNanos), settled);
+				forwarding.elapsedMillis(nowNanos), settled, forwarding.rank().weight());
 		InstancePlacement placement = engine ? EnginePlacement::place : ServicePlacement::place;
 		List<InstanceLoad> candidates = this.state.fleet()
 			.candidates(forwarding.service(), forwarding.excluded(), nowNanos);
@@ -197,10 +190,10 @@
 	private List<LoadEntry> load(Forwarding forwarding, PlacementPlan plan, AttemptId attempt, long nowNanos) {
 		long remainingMillis = forwarding.remainingMillis(nowNanos);
 		long gapMillis = (forwarding.route().kind() == RouteKind.STREAM) ? forwarding.route().targetGapMillis() : 0;
-		double worth = PlacementQuery.worth(forwarding.request().tokens().orElse(NO_TOKENS).promptTokens());
 		List<LoadEntry> load = new ArrayList<>();
 		load.add(new LoadEntry(attempt.toString(), plan.primary().instance().id(), plan.primaryMemoryTokens(),
-				plan.partMillis(), gapMillis, worth, remainingMillis, deferred(forwarding, plan, nowNanos)));
+				plan.partMillis(), gapMillis, forwarding.worth(), remainingMillis,
+				deferred(forwarding, plan, nowNanos)));
 		for (PlannedHelper helper : plan.helpers()) {
 			load.add(new LoadEntry(ticketName(attempt, helper), helper.load().instance().id(), helper.reservedTokens(),
 					plan.partMillis(), 0, 0, remainingMillis));
@@ -217,11 +210,13 @@
 		return plan.partMillis() <= MAX_URGENT_READ_MILLIS && plan.helpers().isEmpty();
 	}
 
-	private static int urgency(PlacementPlan plan, boolean deferred) {
-		if (deferred) {
-			return DEFERRED_URGENCY;
-		}
-		return urgent(plan) ? HIGH_URGENCY : LOW_URGENCY;
+	private static int urgency(Forwarding forwarding, long nowNanos) {
+		double elapsedMillis = forwarding.elapsedMillis(nowNanos);
+		double waitedShare = elapsedMillis / Math.max(1, elapsedMillis + forwarding.remainingMillis(nowNanos));
+		UrgencyRule rule = forwarding.service().engine().isPresent() ? UrgencyRule.of(forwarding.rank())
+				: UrgencyRule.UNRANKED;
+		return rule.urgency(new EngineRequest(forwarding.rank(), urgent(forwarding.plan()), forwarding.deferred(),
+				false, waitedShare));
 	}
 
 	private static List<Ticket> tickets(PlacementPlan plan, AttemptId attempt) {
@@ -249,16 +244,16 @@
 	}
 
 	private static LogDecision logPlacement(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+		List<DecisionInput> inputs = new ArrayList<>(List.of(DecisionInput.of("attempt", forwarding.attempts()),
+				DecisionInput.of("prompt_tokens", forwarding.request().tokens().orElse(NO_TOKENS).promptTokens()),
+				DecisionInput.of("helpers", plan.helpers().size()),
+				DecisionInput.of("predicted_ms", Math.round(plan.firstTokenMillis())),
+				DecisionInput.of("backlog_ms", Math.round(plan.primary().backlogMillis(nowNanos))),
+				DecisionInput.of("running", plan.primary().running()),
+				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
+		inputs.addAll(AttemptLog.rank(forwarding));
 		return new LogDecision("place", forwarding.request().id().value(), forwarding.request().callerAttempt(),
-				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent",
-				List.of(DecisionInput.of("attempt", forwarding.attempts()),
-						DecisionInput.of("prompt_tokens",
-								forwarding.request().tokens().orElse(NO_TOKENS).promptTokens()),
-						DecisionInput.of("helpers", plan.helpers().size()),
-						DecisionInput.of("predicted_ms", Math.round(plan.firstTokenMillis())),
-						DecisionInput.of("backlog_ms", Math.round(plan.primary().backlogMillis(nowNanos))),
-						DecisionInput.of("running", plan.primary().running()),
-						DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
+				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent", inputs);
 	}
 
 	private static long deadlineAfter(long nowNanos, long millis) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -47,18 +47,20 @@
 		Route route = routes.find(request.host(), request.path())
 			.orElseThrow(() -> new ProblemException(
 					Problem.notRun(ProblemKind.UNKNOWN_PATH, "No route of the host serves this path.")));
-		String workspace = workspace(configuration, route, request);
+		Optional<WorkspaceGrant> grant = request.key().map((key) -> configuration.grants().get(key));
+		String workspace = workspace(configuration, route, grant);
 		Optional<Long> blocked = this.state.suspects().findBlocked(request.crashKeys(), nowNanos);
 		if (blocked.isPresent()) {
 			throw new ProblemException(CrashRules.problem(blocked.get()));
 		}
-		return new Forwarding(request, route, service(configuration, route), workspace, nowNanos);
+		ServiceLimits service = service(configuration, route);
+		return new Forwarding(request,
+				new RequestPolicy(route, service, workspace, routes.ranks().find(service.name(), route, grant)),
+				nowNanos);
 	}
 
-	private static String workspace(Configuration configuration, Route route, ForwardRequest request) {
-		Optional<String> workspace = request.key()
-			.map((key) -> configuration.grants().get(key))
-			.map(WorkspaceGrant::workspace);
+	private static String workspace(Configuration configuration, Route route, Optional<WorkspaceGrant> grant) {
+		Optional<String> workspace = grant.map(WorkspaceGrant::workspace);
 		if (route.open() || !configuration.keysRequired()) {
 			return workspace.orElse("");
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -1,6 +1,7 @@
 package org.rattanhead.decision.forward;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
@@ -196,10 +197,14 @@
 
 	private List<ForwardCommand> tick(long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
+		List<Forwarding> held = new ArrayList<>();
 		for (Forwarding forwarding : this.state.all()) {
 			if (forwarding.remainingMillis(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
 				this.attempts.expired(forwarding, nowNanos, commands);
 			}
+			else if (forwarding.stage() == ForwardStage.HELD && forwarding.rank().active()) {
+				held.add(forwarding);
+			}
 			else if (forwarding.stage() == ForwardStage.HELD) {
 				dispatch(forwarding, nowNanos, commands);
 			}
@@ -207,6 +212,8 @@
 				this.attempts.overdue(forwarding, nowNanos, commands);
 			}
 		}
+		held.sort(Comparator.comparing(Forwarding::heldOrder));
+		held.forEach((forwarding) -> dispatch(forwarding, nowNanos, commands));
 		this.state.fleet().expire(nowNanos);
 		this.state.tickets().tick(nowNanos, commands);
 		this.crashes.publish(nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -12,6 +12,8 @@
 import org.rattanhead.core.forward.Route;
 import org.rattanhead.core.forward.ServiceLimits;
 import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.decision.rank.HeldOrder;
+import org.rattanhead.decision.rank.RequestRank;
 
 /**
  * A request in progress.
@@ -23,11 +25,7 @@
 
 	private final ForwardRequest request;
 
-	private final Route route;
-
-	private final ServiceLimits service;
-
-	private final String workspace;
+	private final RequestPolicy policy;
 
 	private final long startNanos;
 
@@ -65,13 +63,12 @@
 
 	private int extensions;
 
-	Forwarding(ForwardRequest request, Route route, ServiceLimits service, String workspace, long nowNanos) {
+	Forwarding(ForwardRequest request, RequestPolicy policy, long nowNanos) {
 		this.request = request;
-		this.route = route;
-		this.service = service;
-		this.workspace = workspace;
+		this.policy = policy;
 		this.startNanos = nowNanos;
-		long millis = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(route.timeoutMillis()));
+		long millis = Math.min(policy.route().timeoutMillis(),
+				request.deadlineMillis().orElse(policy.route().timeoutMillis()));
 		this.deadlineNanos = nowNanos + Millis.toNanos(millis);
 		this.relay = new ReplyRelay(request.id());
 	}
@@ -214,15 +211,19 @@
 	}
 
 	Route route() {
-		return this.route;
+		return this.policy.route();
 	}
 
 	ServiceLimits service() {
-		return this.service;
+		return this.policy.service();
 	}
 
 	String workspace() {
-		return this.workspace;
+		return this.policy.workspace();
+	}
+
+	RequestRank rank() {
+		return this.policy.rank();
 	}
 
 	/**
@@ -230,7 +231,8 @@
 	 * @return the worth, in the unit of {@link PlacementQuery#worth()}
 	 */
 	double worth() {
-		return PlacementQuery.worth(this.request.tokens().map((tokens) -> tokens.promptTokens()).orElse(0L));
+		return rank().weight()
+				* PlacementQuery.worth(this.request.tokens().map((tokens) -> tokens.promptTokens()).orElse(0L));
 	}
 
 	/**
@@ -285,6 +287,10 @@
 		return Millis.ofNanos(nowNanos - this.startNanos);
 	}
 
+	HeldOrder heldOrder() {
+		return new HeldOrder(rank().position(), this.deadlineNanos);
+	}
+
 	long remainingMillis(long nowNanos) {
 		return Millis.ofNanos(this.deadlineNanos - nowNanos);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/HoldRule.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/HoldRule.java
@@ -60,7 +60,7 @@
 		}
 		double targetMillis = TARGET_SHARE * forwarding.route().targetLatencyMillis();
 		double slackMillis = targetMillis - forwarding.elapsedMillis(nowNanos) - plan.firstTokenMillis();
-		double worth = PlacementQuery.worth(promptTokens);
+		double worth = forwarding.worth();
 		if (slackMillis < 0) {
 			return plan.interferenceCost() > LATE_MAX_COST_SHARE * worth;
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
@@ -15,9 +15,10 @@
  * @param answerTokens the expected response length, in tokens
  * @param elapsedMillis how long the request has waited, in milliseconds
  * @param packed whether short prompts fill the engines in order; otherwise they spread
+ * @param rankWeight the factor of the worth for the rank of the request
  */
 record PlacementQuery(Route route, Optional<EngineModel> engine, TokenCounts tokens, long answerTokens,
-		long elapsedMillis, boolean packed) {
+		long elapsedMillis, boolean packed, double rankWeight) {
 
 	/** The worth of a stream without its prompt, from the published price lists. */
 	private static final double BASE_WORTH = 0.8;
@@ -26,7 +27,7 @@
 	private static final double TOKENS_PER_WORTH = 8_000;
 
 	double worth() {
-		return worth(this.tokens.promptTokens());
+		return this.rankWeight * worth(this.tokens.promptTokens());
 	}
 
 	static double worth(long promptTokens) {
--- /dev/null
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
@@ -0,0 +1,16 @@
+package org.rattanhead.decision.forward;
+
+import org.rattanhead.core.forward.Route;
+import org.rattanhead.core.forward.ServiceLimits;
+import org.rattanhead.decision.rank.RequestRank;
+
+/**
+ * What the configuration in force determines for a request.
+ *
+ * @param route the route
+ * @param service the service that runs it
+ * @param workspace the workspace that sent it, empty if unknown
+ * @param rank its rank in the service
+ */
+record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank) {
+}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RetryBudget.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RetryBudget.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 
 import org.rattanhead.core.Millis;
+import org.rattanhead.decision.rank.RequestRank;
+import org.rattanhead.decision.rank.RetryShare;
 
 /**
  * Limits the retries to a service to the share of this daemon in the budget of all
@@ -45,6 +47,20 @@
 		record(this.requestNanos, service, nowNanos);
 	}
 
+	/**
+	 * Returns whether a request may be sent once more. In a service with several ranks,
+	 * the rank decides instead of the worth.
+	 * @param service the service
+	 * @param worth the worth of the request
+	 * @param rank the rank of the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if the budget allows it
+	 */
+	boolean allows(String service, double worth, RequestRank rank, long nowNanos) {
+		return rank.active() ? allowsShare(service, RetryShare.of(rank, USED_SHARE), nowNanos)
+				: allows(service, worth, nowNanos);
+	}
+
 	/**
 	 * Returns whether a request may be sent once more.
 	 * @param service the service
@@ -53,10 +69,13 @@
 	 * @return true if the budget allows it
 	 */
 	boolean allows(String service, double worth, long nowNanos) {
+		return allowsShare(service, (worth < HIGH_WORTH) ? LOW_WORTH_SHARE : USED_SHARE, nowNanos);
+	}
+
+	private boolean allowsShare(String service, double share, long nowNanos) {
 		double allowed = this.limits.retryRatio() * count(this.requestNanos, service, nowNanos)
 				+ this.limits.retrySlack() / this.daemons;
-		return count(this.retryNanos, service, nowNanos) + 1 <= allowed
-				* ((worth < HIGH_WORTH) ? LOW_WORTH_SHARE : USED_SHARE);
+		return count(this.retryNanos, service, nowNanos) + 1 <= allowed * share;
 	}
 
 	void retry(String service, long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RouteTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RouteTable.java
@@ -9,6 +9,7 @@
 
 import org.rattanhead.core.forward.Configuration;
 import org.rattanhead.core.forward.Route;
+import org.rattanhead.decision.rank.RankTable;
 
 /**
  * Finds the route of a request by the longest path prefix among the routes of its host.
@@ -19,8 +20,11 @@
 
 	private final Configuration configuration;
 
+	private final RankTable ranks;
+
 	RouteTable(Configuration configuration) {
 		this.configuration = configuration;
+		this.ranks = new RankTable(configuration);
 		configuration.routes()
 			.forEach(
 					(route) -> this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
@@ -32,6 +36,10 @@
 		return this.configuration;
 	}
 
+	RankTable ranks() {
+		return this.ranks;
+	}
+
 	Optional<Route> find(String host, String path) {
 		return this.routesByHost.getOrDefault(host, List.of())
 			.stream()
