Place load evenly on stale views in large fleets

Cause: all gateways take the lowest-cost instance of the same stale view, so they overload the same server while others are idle. Change: from [placement] even-load-from gateways (17) on, short prompts are offered to the gateway's own slice of the active set and to two engines drawn by free capacity; others' work fades with the age of the view. Below, the placement is as before. Logs view_age_ms and candidates; metric rattanhead_forward_peak_to_mean.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
@@ -5,12 +5,14 @@
 import java.io.UncheckedIOException;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.decision.forward.LogDecision;
+import org.rattanhead.decision.forward.ReportBalance;
 
 /**
  * The metrics of a gateway.
@@ -38,6 +40,16 @@
 		.labelNames("decision")
 		.register(this.registry);
 
+	private final Gauge balance = Gauge.builder()
+		.name("rattanhead_forward_peak_to_mean")
+		.help("Requests on the busiest server relative to the mean, by service")
+		.labelNames("service")
+		.register(this.registry);
+
+	void balance(ReportBalance command) {
+		this.balance.labelValues(command.service()).set(command.peakToMean());
+	}
+
 	void count(LogDecision command) {
 		this.decisions.labelValues(command.decision()).inc();
 		command.inputs()
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -19,6 +19,7 @@
 import org.rattanhead.decision.forward.PublishNotice;
 import org.rattanhead.decision.forward.RefuseRequest;
 import org.rattanhead.decision.forward.ReleaseTicket;
+import org.rattanhead.decision.forward.ReportBalance;
 import org.rattanhead.decision.forward.ReserveTicket;
 import org.rattanhead.decision.forward.StoreSuspect;
 import org.rattanhead.http.forward.ForwardReplyWriter;
@@ -60,6 +61,7 @@
 				metrics.count(command);
 				this.log.write(command, now);
 			}))
+			.on(ReportBalance.class, (command, now) -> done(() -> metrics.balance(command)))
 			.on(ForwardDrained.class, (command, now) -> done(onDrained))
 			.covering(ForwardCommand.class);
 	}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
@@ -17,10 +17,12 @@
 
 	static final String SECTION = "gateway";
 
-	private static final Set<String> SECTIONS = Set.of(SECTION, "platform", "limits", "logs");
+	private static final Set<String> SECTIONS = Set.of(SECTION, "platform", "limits", "placement", "logs");
 
 	private static final int MAX_RETRY_SLACK = 1_000_000;
 
+	private static final int MAX_DAEMONS = 1_000_000;
+
 	private static final double MAX_PROCESSOR_CORES = 1_000;
 
 	private static final long DEFAULT_ADDRESS_TTL_MILLIS = 2_000;
@@ -45,15 +47,16 @@
 		SectionReader gateway = this.reader.section(SECTION);
 		SectionReader platform = this.reader.section("platform");
 		SectionReader limits = this.reader.section("limits");
+		SectionReader placement = this.reader.section("placement");
 		SectionReader logs = this.reader.section("logs");
 		GatewaySettings settings = new GatewaySettings(gateway.text("host"),
 				SettingsFileReader.address(gateway, "callers"), SettingsFileReader.address(gateway, "ready"),
 				SettingsFileReader.address(gateway, "directory"), SettingsFileReader.address(gateway, "mesh"),
 				SettingsFileReader.address(gateway, "metrics"), SettingsFileReader.address(platform, "store"),
-				processorCores(gateway), limits(limits), limits.durationMillis("shutdown-grace"),
+				processorCores(gateway), limits(limits, placement), limits.durationMillis("shutdown-grace"),
 				gateway.durationMillis("address-ttl", DEFAULT_ADDRESS_TTL_MILLIS),
 				logs.enumValue("level", LogLevel.class, LogLevel.INFO).level());
-		List.of(gateway, platform, limits, logs).forEach(SectionReader::reportUnknownKeys);
+		List.of(gateway, platform, limits, placement, logs).forEach(SectionReader::reportUnknownKeys);
 		this.reader.throwIfFaulty();
 		return settings;
 	}
@@ -63,10 +66,11 @@
 				* section.decimal("processor-speed", 0, MAX_PROCESSOR_CORES, 1);
 	}
 
-	private ForwardLimits limits(SectionReader section) {
+	private ForwardLimits limits(SectionReader section, SectionReader placement) {
 		return new ForwardLimits(section.decimal("retry-ratio", 0, 1),
 				section.decimal("retry-slack", 0, MAX_RETRY_SLACK), section.durationMillis("retry-window"),
-				section.durationMillis("max-hold"));
+				section.durationMillis("max-hold"),
+				placement.integer("even-load-from", 1, MAX_DAEMONS, ForwardLimits.DEFAULT_EVEN_LOAD_FROM));
 	}
 
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -1,6 +1,7 @@
 package org.rattanhead.daemon.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -25,6 +26,7 @@
 import org.rattanhead.decision.forward.PeerNoticeReceived;
 import org.rattanhead.decision.forward.PeerUnresponsive;
 import org.rattanhead.decision.forward.PublishHeartbeat;
+import org.rattanhead.decision.register.FleetCount;
 import org.rattanhead.decision.register.MemberTable;
 import org.rattanhead.decision.register.ServingDecider;
 import org.rattanhead.peer.mesh.MeshListener;
@@ -60,7 +62,12 @@
 
 	private final Set<String> peersWithLoad = ConcurrentHashMap.newKeySet();
 
-	private int publishedSharingCount = 1;
+	private final FleetCount fleetCount = new FleetCount();
+
+	/** The serving daemons whose first heartbeat was passed on, also if it was empty. */
+	private final Set<String> heardPeers = new HashSet<>();
+
+	private PeerCountChanged publishedCount = new PeerCountChanged(1);
 
 	private boolean serving;
 
@@ -160,9 +167,11 @@
 		if (!empty) {
 			this.peersWithLoad.add(heartbeat.member().host());
 		}
-		// The first empty heartbeat corrects load left over from lost datagrams; further
-		// ones carry no information.
-		if (!empty || this.peersWithLoad.remove(heartbeat.member().host())) {
+		// The first empty heartbeat corrects load left over from lost datagrams, or
+		// reports a
+		// serving daemon without load; further ones carry no information.
+		boolean first = heartbeat.serving() && this.heardPeers.add(heartbeat.member().host());
+		if (!empty || this.peersWithLoad.remove(heartbeat.member().host()) || first) {
 			this.decisions.offer(
 					new PeerHeartbeatReceived(heartbeat.member().host(), heartbeat.load(), heartbeat.crashes()),
 					Urgency.STREAM);
@@ -174,11 +183,12 @@
 		for (String host : this.table.expire(nowNanos)) {
 			LOGGER.info("peer: daemon {} is unresponsive; callers no longer receive its address", host);
 			this.peersWithLoad.remove(host);
+			this.heardPeers.remove(host);
 			this.decisions.offer(new PeerUnresponsive(host), Urgency.CONTROL);
 		}
 		boolean servedBefore = this.serving;
 		this.serving = this.table.updateServing(this.servingDecider, nowNanos);
-		publishServing();
+		publishServing(nowNanos);
 		this.heartbeatCount++;
 		if (servedBefore != this.serving) {
 			LOGGER.info("peer: this daemon {}; {} others serve", this.serving ? "serves" : "stands by",
@@ -203,13 +213,18 @@
 		}
 	}
 
-	private void publishServing() {
-		this.status.updateServing(this.serving, this.table.serving());
-		int sharing = this.table.sharingCount();
-		if (sharing != this.publishedSharingCount) {
-			this.publishedSharingCount = sharing;
-			LOGGER.info("peer: {} daemons share limits, {} daemons are alive", sharing, this.table.aliveCount());
-			this.decisions.offer(new PeerCountChanged(sharing), Urgency.CONTROL);
+	private void publishServing(long nowNanos) {
+		List<Member> servingPeers = this.table.serving();
+		this.status.updateServing(this.serving, servingPeers);
+		int alive = this.table.aliveCount();
+		int fleet = this.fleetCount.update(servingPeers.size() + (this.serving ? 1 : 0), alive,
+				this.table.recipients().size() + 1, nowNanos);
+		PeerCountChanged count = new PeerCountChanged(this.table.sharingCount(), fleet);
+		if (!count.equals(this.publishedCount)) {
+			this.publishedCount = count;
+			LOGGER.info("peer: {} daemons share limits, {} daemons are alive, {} in the fleet", count.daemons(), alive,
+					fleet);
+			this.decisions.offer(count, Urgency.CONTROL);
 		}
 	}
 
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
@@ -56,11 +56,20 @@
 		assertThat(settings.meshAddress().getPort()).isEqualTo(4);
 	}
 
+	@ParameterizedTest(name = "\"{0}\": {1}")
+	@CsvSource({ "'', 17", "'[placement]\n', 17", "'[placement]\neven-load-from = 1\n', 1",
+			"'[placement]\neven-load-from = 40\n', 40" })
+	void readsFleetFromWhichLoadIsPlacedEvenly(String section, int expected) throws Exception {
+		assertThat(GatewaySettingsFile.parse(file(VALID + section)).limits().evenLoadFrom()).isEqualTo(expected);
+	}
+
 	@ParameterizedTest(name = "{0} -> {1}")
 	@CsvSource(delimiter = '|', value = { "host = a||host", "callers = 10.0.0.1:1|callers = name:1|callers",
 			"retry-ratio = 0.2|retry-ratio = x|retry-ratio", "processor-share = 0.75|processor-share = all|share",
 			"retry-ratio = 0.2|retry-ratio = 2|retry-ratio", "retry-window = 10s|retry-window = 10|retry-window",
-			"store = 10.0.0.9:1|stores = 10.0.0.9:1|store", "[limits]|[limit]|limit" })
+			"store = 10.0.0.9:1|stores = 10.0.0.9:1|store", "[limits]|[limit]|limit",
+			"[limits]|'[placement]\neven-load-from = 0\n[limits]'|even-load-from",
+			"[limits]|'[placement]\neven-load = 9\n[limits]'|even-load" })
 	void namesInvalidSetting(String valid, String invalid, String expected) {
 		String text = VALID.replace(valid, (invalid != null) ? invalid : "");
 		assertThatExceptionOfType(SettingsException.class).isThrownBy(() -> GatewaySettingsFile.parse(file(text)))
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -184,10 +184,14 @@
 				forwarding.request().answerTokensHint().orElse(usual));
 		boolean settled = this.state.fleet().settled(nowNanos);
 		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected,
-				forwarding.elapsedMillis(nowNanos), settled);
+				forwarding.elapsedMillis(nowNanos), settled, InstanceLoad::streams, false);
 		InstancePlacement placement = engine ? EnginePlacement::place : ServicePlacement::place;
 		List<InstanceLoad> candidates = this.state.fleet()
 			.candidates(forwarding.service(), forwarding.excluded(), nowNanos);
+		if (this.state.fleet().even()) {
+			return new EvenPlacement(this.state.fleet(), forwarding.service(), this.state.random()).place(query,
+					candidates, nowNanos);
+		}
 		if (!settled && !candidates.isEmpty()) {
 			Collections.rotate(candidates, this.state.random().nextInt(candidates.size()));
 		}
@@ -249,16 +253,19 @@
 	}
 
 	private static LogDecision logPlacement(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+		List<DecisionInput> inputs = new ArrayList<>(List.of(DecisionInput.of("attempt", forwarding.attempts()),
+				DecisionInput.of("prompt_tokens", forwarding.request().tokens().orElse(NO_TOKENS).promptTokens()),
+				DecisionInput.of("helpers", plan.helpers().size()),
+				DecisionInput.of("predicted_ms", Math.round(plan.firstTokenMillis())),
+				DecisionInput.of("backlog_ms", Math.round(plan.primary().backlogMillis(nowNanos))),
+				DecisionInput.of("running", plan.primary().running()),
+				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
+		if (plan.candidates() > 0) {
+			inputs.add(DecisionInput.of("view_age_ms", plan.viewAgeMillis()));
+			inputs.add(DecisionInput.of("candidates", plan.candidates()));
+		}
 		return new LogDecision("place", forwarding.request().id().value(), forwarding.request().callerAttempt(),
-				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent",
-				List.of(DecisionInput.of("attempt", forwarding.attempts()),
-						DecisionInput.of("prompt_tokens",
-								forwarding.request().tokens().orElse(NO_TOKENS).promptTokens()),
-						DecisionInput.of("helpers", plan.helpers().size()),
-						DecisionInput.of("predicted_ms", Math.round(plan.firstTokenMillis())),
-						DecisionInput.of("backlog_ms", Math.round(plan.primary().backlogMillis(nowNanos))),
-						DecisionInput.of("running", plan.primary().running()),
-						DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
+				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent", inputs);
 	}
 
 	private static long deadlineAfter(long nowNanos, long millis) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EnginePlacement.java
@@ -50,6 +50,13 @@
 	/** Cost of the list position for short prompts, so that engines fill up in order. */
 	private static final double POSITION_COST = 0.6;
 
+	/**
+	 * Cost of the streams on an engine for short prompts that are placed evenly, as a
+	 * share of the slots. It outweighs small differences of the other costs, by which all
+	 * daemons would choose the same engine.
+	 */
+	private static final double STREAM_COST = 2;
+
 	/** Cost of a full batch, which slows every stream in it. */
 	private static final double FULL_BATCH_COST = 0.5;
 
@@ -122,7 +129,8 @@
 			double cost = lateCost(query, firstTokenMillis)
 					+ load.interferenceCost(readMillis, engine.passMillis(), nowNanos)
 					+ occupancyCost(query, engine, load, query.memoryTokens())
-					+ (query.packed() ? POSITION_COST * index / candidates.size() : 0);
+					+ (query.packed() ? POSITION_COST * index / candidates.size() : 0)
+					+ (query.even() ? STREAM_COST * query.streams().applyAsDouble(load) / engine.slots() : 0);
 			if (cost < bestCost) {
 				bestCost = cost;
 				best = load;
@@ -224,13 +232,14 @@
 
 	private static double occupancyCost(PlacementQuery query, EngineModel engine, InstanceLoad load,
 			long memoryTokens) {
-		double share = load.streams() / (double) Math.max(1, engine.slots());
+		double streams = query.streams().applyAsDouble(load);
+		double share = streams / Math.max(1, engine.slots());
 		double cost = FULL_BATCH_COST * share * share * share * share;
-		if (load.streams() == engine.slots() - 1) {
+		if (streams >= engine.slots() - 1 && streams < engine.slots()) {
 			cost += LAST_SLOT_COST * query.worth();
 		}
-		if (load.streams() >= engine.slots()) {
-			cost += NO_SLOT_COST * query.worth() * (load.streams() - engine.slots() + 1);
+		if (streams >= engine.slots()) {
+			cost += NO_SLOT_COST * query.worth() * (streams - engine.slots() + 1);
 		}
 		if (load.usedTokens() + memoryTokens > engine.memoryTokens()) {
 			cost += NO_MEMORY_COST * query.worth();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -104,7 +104,11 @@
 			.on(ReplyWritten.class, (event, now) -> written(event))
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
-			.on(HeartbeatDue.class, (event, now) -> List.of(heartbeat(now)))
+			.on(HeartbeatDue.class, (event, now) -> {
+				List<ForwardCommand> commands = new ArrayList<>(List.of(heartbeat(now)));
+				commands.addAll(this.state.fleet().balance());
+				return commands;
+			})
 			.on(ShutdownStarted.class, (event, now) -> changed(() -> this.state.shutdown(event.endNanos())))
 			.on(ForwardDraining.class, (event, now) -> drain(event))
 			.on(GraceEnded.class, (event, now) -> graceEnded(now));
@@ -118,20 +122,22 @@
 			.on(PeerNoticeReceived.class, this.notices::receivedFromPeer)
 			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
 			.on(PeerLoadStarted.class,
-					(event, now) -> changed(
+					(event, now) -> heard(event.host(), now,
 							() -> event.entries().forEach((entry) -> fleet.place(event.host(), entry, now))))
 			.on(PeerLoadEnded.class,
-					(event, now) -> changed(() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
-			.on(PeerHeartbeatReceived.class, (event, now) -> changed(() -> {
+					(event, now) -> heard(event.host(), now,
+							() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
+			.on(PeerHeartbeatReceived.class, (event, now) -> heard(event.host(), now, () -> {
 				fleet.replace(event.host(), event.load(), now);
 				this.state.suspects().receive(event.crashes(), now);
 			}))
 			.on(PeerCrashesReceived.class,
 					(event, now) -> changed(() -> this.state.suspects().receive(event.reports(), now)))
 			.on(StoredSuspectsChanged.class, (event, now) -> changed(() -> storedSuspectsChanged(event, now)))
-			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.replace(event.host(), List.of(), now)))
+			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.lost(event.host(), now)))
 			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
 				fleet.daemons(event.daemons());
+				fleet.fleetDaemons(event.fleet());
 				this.state.budget().daemons(event.daemons());
 			}));
 	}
@@ -252,6 +258,11 @@
 		this.state.suspects().restore(event.stored(), nowNanos);
 	}
 
+	private List<ForwardCommand> heard(String host, long nowNanos, Runnable change) {
+		this.state.fleet().activity().heard(host, nowNanos);
+		return changed(change);
+	}
+
 	private static List<ForwardCommand> changed(Runnable change) {
 		change.run();
 		return List.of();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -23,7 +23,7 @@
 
 	private final RandomGenerator random;
 
-	private final UpstreamFleet fleet = new UpstreamFleet();
+	private final UpstreamFleet fleet;
 
 	private final RetryBudget budget;
 
@@ -44,6 +44,7 @@
 	ForwardState(String self, ForwardLimits limits, RandomGenerator random) {
 		this.self = self;
 		this.random = random;
+		this.fleet = new UpstreamFleet(self, limits.evenLoadFrom());
 		this.budget = new RetryBudget(limits);
 		this.tickets = new TicketRegistry(limits.maxHoldMillis());
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.EngineModel;
@@ -90,12 +91,23 @@
 		}
 	}
 
-	void place(LoadEntry entry, long nowNanos) {
+	/**
+	 * Adds work.
+	 * @param entry the work
+	 * @param own whether this daemon placed it
+	 * @param ageMillis how long ago it was placed
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the work, or empty if it was known
+	 */
+	Optional<PlacedLoad> place(LoadEntry entry, boolean own, long ageMillis, long nowNanos) {
 		if (this.placed.containsKey(entry.key())) {
-			return;
+			return Optional.empty();
 		}
-		this.readUntilNanos = Math.max(this.readUntilNanos, nowNanos) + Millis.toNanos(entry.readMillis());
-		this.placed.put(entry.key(), new PlacedLoad(entry, nowNanos + Millis.toNanos(entry.remainingMillis())));
+		this.readUntilNanos = Math.max(this.readUntilNanos, nowNanos)
+				+ Millis.toNanos(Math.max(0, entry.readMillis() - ageMillis));
+		PlacedLoad load = new PlacedLoad(entry, nowNanos + Millis.toNanos(entry.remainingMillis()), own);
+		this.placed.put(entry.key(), load);
+		return Optional.of(load);
 	}
 
 	void remove(String key, long nowNanos) {
@@ -113,6 +125,19 @@
 		return this.placed.size();
 	}
 
+	/**
+	 * Counts the requests of this daemon, or those of others.
+	 * @param own whether to count those of this daemon
+	 * @return the number, without parts of prompts that are read for other instances
+	 */
+	int requests(boolean own) {
+		int requests = 0;
+		for (PlacedLoad load : this.placed.values()) {
+			requests += (load.own() == own && load.isRequest()) ? 1 : 0;
+		}
+		return requests;
+	}
+
 	int streams() {
 		int streams = 0;
 		for (PlacedLoad load : this.placed.values()) {
@@ -240,11 +265,21 @@
 		this.sentNanos.addLast(nowNanos);
 	}
 
-	boolean coldLimitReached(double share, long nowNanos) {
+	/**
+	 * Counts the requests that this daemon sent in the last second.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the number
+	 */
+	int sentLately(long nowNanos) {
 		while (!this.sentNanos.isEmpty() && this.sentNanos.peekFirst() < nowNanos - SECOND_NANOS) {
 			this.sentNanos.pollFirst();
 		}
-		return nowNanos < this.coldUntilNanos && this.sentNanos.size() >= Math.max(1, (int) share);
+		return this.sentNanos.size();
+	}
+
+	boolean coldLimitReached(double share, long nowNanos) {
+		int sent = sentLately(nowNanos);
+		return nowNanos < this.coldUntilNanos && sent >= Math.max(1, (int) share);
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
@@ -11,9 +11,21 @@
  * @param partMillis the time to read one part, in milliseconds
  * @param primaryMemoryTokens the memory used on the primary instance, in tokens
  * @param interferenceCost the worth that other requests lose
+ * @param viewAgeMillis the age of the view that it was selected on, in milliseconds
+ * @param candidates the number of instances considered; 0 if load is not placed evenly
  */
 record PlacementPlan(InstanceLoad primary, List<PlannedHelper> helpers, double firstTokenMillis, long partMillis,
-		long primaryMemoryTokens, double interferenceCost) {
+		long primaryMemoryTokens, double interferenceCost, long viewAgeMillis, int candidates) {
+
+	PlacementPlan(InstanceLoad primary, List<PlannedHelper> helpers, double firstTokenMillis, long partMillis,
+			long primaryMemoryTokens, double interferenceCost) {
+		this(primary, helpers, firstTokenMillis, partMillis, primaryMemoryTokens, interferenceCost, 0, 0);
+	}
+
+	PlacementPlan selectedFrom(long newViewAgeMillis, int newCandidates) {
+		return new PlacementPlan(this.primary, this.helpers, this.firstTokenMillis, this.partMillis,
+				this.primaryMemoryTokens, this.interferenceCost, newViewAgeMillis, newCandidates);
+	}
 
 	boolean reserves() {
 		return this.helpers.stream().anyMatch((helper) -> helper.reservedTokens() > 0);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementQuery.java
@@ -1,6 +1,7 @@
 package org.rattanhead.decision.forward;
 
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
 import org.rattanhead.core.forward.EngineModel;
 import org.rattanhead.core.forward.Route;
@@ -15,9 +16,11 @@
  * @param answerTokens the expected response length, in tokens
  * @param elapsedMillis how long the request has waited, in milliseconds
  * @param packed whether short prompts fill the engines in order; otherwise they spread
+ * @param streams the streams that an instance is expected to have
+ * @param even whether short prompts prefer engines with few streams
  */
 record PlacementQuery(Route route, Optional<EngineModel> engine, TokenCounts tokens, long answerTokens,
-		long elapsedMillis, boolean packed) {
+		long elapsedMillis, boolean packed, ToDoubleFunction<InstanceLoad> streams, boolean even) {
 
 	/** The worth of a stream without its prompt, from the published price lists. */
 	private static final double BASE_WORTH = 0.8;
@@ -25,6 +28,16 @@
 	/** The prompt tokens per unit of worth, from the published price lists. */
 	private static final double TOKENS_PER_WORTH = 8_000;
 
+	/**
+	 * Returns the query for a placement that spreads load by estimates.
+	 * @param estimatedStreams the streams that an instance is expected to have
+	 * @return the query
+	 */
+	PlacementQuery spread(ToDoubleFunction<InstanceLoad> estimatedStreams) {
+		return new PlacementQuery(this.route, this.engine, this.tokens, this.answerTokens, this.elapsedMillis, false,
+				estimatedStreams, true);
+	}
+
 	double worth() {
 		return worth(this.tokens.promptTokens());
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ServicePlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ServicePlacement.java
@@ -10,7 +10,7 @@
 final class ServicePlacement {
 
 	/** Typical duration of a call to a plain service. */
-	private static final double USUAL_MILLIS = 50;
+	static final double USUAL_MILLIS = 50;
 
 	private ServicePlacement() {
 	}
@@ -18,7 +18,11 @@
 	static Optional<PlacementPlan> place(PlacementQuery query, List<InstanceLoad> candidates, long nowNanos) {
 		return candidates.stream()
 			.min(Comparator.comparingDouble((load) -> share(load, 1)))
-			.map((load) -> new PlacementPlan(load, List.of(), USUAL_MILLIS * Math.max(1, share(load, 1)), 0, 0, 0));
+			.map(ServicePlacement::plan);
+	}
+
+	static PlacementPlan plan(InstanceLoad load) {
+		return new PlacementPlan(load, List.of(), USUAL_MILLIS * Math.max(1, share(load, 1)), 0, 0, 0);
 	}
 
 	private static double share(InstanceLoad load, int added) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -15,6 +15,8 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.ServiceLimits;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.balance.PeerActivity;
+import org.rattanhead.decision.balance.ServiceActivity;
 import org.rattanhead.decision.notice.InstanceNotices;
 
 /**
@@ -36,14 +38,34 @@
 
 	private final InstanceNotices notices = new InstanceNotices();
 
+	private final PeerActivity activity;
+
+	private final int evenLoadFrom;
+
 	private Set<String> evacuated = Set.of();
 
 	private int daemons = 1;
 
+	private int fleetDaemons = 1;
+
 	private long lastExpireNanos = Long.MIN_VALUE;
 
 	private long firstUpdateNanos = Long.MAX_VALUE;
 
+	UpstreamFleet() {
+		this("", Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a fleet.
+	 * @param self the host of this daemon
+	 * @param evenLoadFrom the number of daemons from which load is placed evenly
+	 */
+	UpstreamFleet(String self, int evenLoadFrom) {
+		this.activity = new PeerActivity(self);
+		this.evenLoadFrom = evenLoadFrom;
+	}
+
 	void update(List<UpstreamInstance> registered, long nowNanos) {
 		this.firstUpdateNanos = Math.min(this.firstUpdateNanos, nowNanos);
 		Set<String> ids = new HashSet<>();
@@ -77,6 +99,27 @@
 		this.daemons = Math.max(1, newDaemons);
 	}
 
+	void fleetDaemons(int newDaemons) {
+		this.fleetDaemons = newDaemons;
+	}
+
+	boolean even() {
+		return this.fleetDaemons >= this.evenLoadFrom;
+	}
+
+	ServiceActivity activity(ServiceLimits service, long nowNanos) {
+		return this.activity.of(service.name(), this.daemons, nowNanos);
+	}
+
+	PeerActivity activity() {
+		return this.activity;
+	}
+
+	void lost(String host, long nowNanos) {
+		replace(host, List.of(), nowNanos);
+		this.activity.lost(host);
+	}
+
 	Optional<InstanceLoad> find(String id) {
 		return Optional.ofNullable(this.instances.get(id));
 	}
@@ -106,6 +149,20 @@
 		return chosen;
 	}
 
+	/**
+	 * Lists the instances of a service that are registered and accept new work, including
+	 * those that failed recently.
+	 * @param service the name of the service
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the instances in an order that is the same on all daemons
+	 */
+	List<InstanceLoad> accepting(String service, long nowNanos) {
+		return this.instances.values()
+			.stream()
+			.filter((load) -> load.instance().service().equals(service) && acceptsWork(load, nowNanos))
+			.toList();
+	}
+
 	/**
 	 * Returns whether an instance other than a given one may receive a request, including
 	 * recently failed instances.
@@ -184,16 +241,15 @@
 	 * @return the number
 	 */
 	int acceptingCount(ServiceLimits service, long nowNanos) {
-		return (int) this.instances.values()
-			.stream()
-			.filter((load) -> load.instance().service().equals(service.name()) && acceptsWork(load, nowNanos))
-			.count();
+		return accepting(service.name(), nowNanos).size();
 	}
 
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
-			load.place(entry, nowNanos);
+			load.place(entry, this.activity.isSelf(host), even() ? this.activity.entryAgeMillis(host) : 0, nowNanos)
+				.filter(PlacedLoad::isRequest)
+				.ifPresent((added) -> this.activity.placed(host, load.instance().service(), nowNanos));
 			this.instanceByKey.put(entry.key(), entry.instance());
 			this.keysByHost.computeIfAbsent(host, (name) -> new HashSet<>()).add(entry.key());
 		}
@@ -221,6 +277,10 @@
 		entries.forEach((entry) -> place(host, entry, nowNanos));
 	}
 
+	List<ReportBalance> balance() {
+		return even() ? BalanceReports.of(this.instances.values()) : List.of();
+	}
+
 	/**
 	 * Removes expired work and finds instances that are overdue.
 	 * @param nowNanos the time on the monotonic clock
--- /dev/null
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/balance/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of load balancing on stale information.
+ */
+package org.rattanhead.decision.balance;
