Compare the even placement with other rules and reduce its cost

Change: requests are counted as they change, and acceptance is tested without a lookup. BalanceTests runs the placement of 8, 73 and 118 gateways on a virtual clock.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/ActiveSet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/ActiveSet.java
@@ -37,7 +37,7 @@
 		int count = 0;
 		int length = 0;
 		while (length < usable.length && count < needed) {
-			count += usable[length] ? 1 : 0;
+			count += (usable[length]) ? 1 : 0;
 			length++;
 		}
 		return length;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/CandidateDraw.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/CandidateDraw.java
@@ -37,7 +37,7 @@
 		List<Integer> others = new ArrayList<>();
 		for (int index = 0; index < estimate.active(); index++) {
 			if (usable[index]) {
-				(estimate.ownedPart(index) > 0 ? chosen : others).add(index);
+				((estimate.ownedPart(index) > 0) ? chosen : others).add(index);
 			}
 		}
 		ServiceActivity activity = estimate.activity();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/PeerActivity.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/PeerActivity.java
@@ -56,7 +56,7 @@
 	public void heard(String host, long nowNanos) {
 		if (!isSelf(host)) {
 			Long before = this.heardNanos.put(host, nowNanos);
-			this.gapNanos.put(host, (before == null) ? 0 : nowNanos - before);
+			this.gapNanos.put(host, (before != null) ? nowNanos - before : 0);
 		}
 	}
 
@@ -129,8 +129,8 @@
 
 	private double ageMillis(String host, long nowNanos) {
 		Long heard = this.heardNanos.get(host);
-		return (heard == null) ? MAX_AGE_MILLIS
-				: Math.min(MAX_AGE_MILLIS, Math.max(0, nowNanos - heard) / (double) Millis.toNanos(1));
+		return (heard != null) ? Math.min(MAX_AGE_MILLIS, Math.max(0, nowNanos - heard) / (double) Millis.toNanos(1))
+				: MAX_AGE_MILLIS;
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EvenPlacement.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EvenPlacement.java
@@ -72,16 +72,18 @@
 	private Optional<PlacementPlan> placePrompt(PlacementQuery query, EngineModel engine, ServiceActivity activity,
 			List<InstanceLoad> candidates, long nowNanos) {
 		List<InstanceLoad> all = this.fleet.accepting(this.service.name(), nowNanos);
-		Set<InstanceLoad> accepted = Collections.newSetFromMap(new IdentityHashMap<>());
-		accepted.addAll(candidates);
 		boolean[] usable = new boolean[all.size()];
 		int[] own = new int[usable.length];
 		int[] others = new int[usable.length];
 		int ownTotal = 0;
 		int othersTotal = 0;
+		int found = 0;
 		for (int index = 0; index < usable.length; index++) {
 			InstanceLoad load = all.get(index);
-			usable[index] = accepted.contains(load) && load.backlogMillis(nowNanos) <= LONG_READ_MILLIS;
+			// Both lists are in the order of the ids.
+			boolean candidate = found < candidates.size() && candidates.get(found) == load;
+			found += candidate ? 1 : 0;
+			usable[index] = candidate && load.backlogMillis(nowNanos) <= LONG_READ_MILLIS;
 			own[index] = load.requests(true);
 			others[index] = load.requests(false);
 			ownTotal += own[index];
@@ -91,22 +93,21 @@
 				engine.meanAnswerTokens() * engine.stepMillis())
 			.estimate(usable, ownTotal, othersTotal, activity);
 		double[] loads = new double[usable.length];
-		Map<InstanceLoad, Double> streams = new IdentityHashMap<>();
 		for (int index = 0; index < loads.length; index++) {
 			loads[index] = estimate.load(index, own[index], others[index]);
-			streams.put(all.get(index), loads[index]);
-		}
-		List<InstanceLoad> offered = candidates;
-		if (!EnginePlacement.isSingleRead(engine, query.tokens().promptTokens())) {
-			offered = idleLast(all.subList(0, estimate.active()), candidates);
 		}
-		else {
-			List<Integer> drawn = CandidateDraw.draw(estimate, loads, usable, this.random);
-			offered = drawn.isEmpty() ? candidates : drawn.stream().map(all::get).toList();
+		boolean single = EnginePlacement.isSingleRead(engine, query.tokens().promptTokens());
+		List<Integer> drawn = single ? CandidateDraw.draw(estimate, loads, usable, this.random) : List.of();
+		List<InstanceLoad> offered = single ? drawn.stream().map(all::get).toList()
+				: idleLast(all.subList(0, estimate.active()), candidates);
+		Map<InstanceLoad, Double> streams = new IdentityHashMap<>();
+		drawn.forEach((index) -> streams.put(all.get(index), loads[index]));
+		for (int index = 0; drawn.isEmpty() && index < loads.length; index++) {
+			streams.put(all.get(index), loads[index]);
 		}
-		int count = offered.size();
-		return EnginePlacement.place(query.spread(streams::get), offered, nowNanos)
-			.map((plan) -> plan.selectedFrom(0, count));
+		List<InstanceLoad> chosen = offered.isEmpty() ? candidates : offered;
+		return EnginePlacement.place(query.spread(streams::get), chosen, nowNanos)
+			.map((plan) -> plan.selectedFrom(0, chosen.size()));
 	}
 
 	/**
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -64,6 +64,10 @@
 
 	private int failures;
 
+	private int ownRequests;
+
+	private int otherRequests;
+
 	InstanceLoad(UpstreamInstance instance, long nowNanos) {
 		this.readUntilNanos = nowNanos;
 		this.avoidUntilNanos = nowNanos;
@@ -107,20 +111,34 @@
 				+ Millis.toNanos(Math.max(0, entry.readMillis() - ageMillis));
 		PlacedLoad load = new PlacedLoad(entry, nowNanos + Millis.toNanos(entry.remainingMillis()), own);
 		this.placed.put(entry.key(), load);
+		count(load, 1);
 		return Optional.of(load);
 	}
 
 	void remove(String key, long nowNanos) {
-		this.placed.remove(key);
+		PlacedLoad removed = this.placed.remove(key);
+		if (removed != null) {
+			count(removed, -1);
+		}
 		if (this.placed.isEmpty()) {
 			this.readUntilNanos = nowNanos;
 		}
 	}
 
 	void expire(long nowNanos) {
+		this.placed.values()
+			.stream()
+			.filter((load) -> load.expiryNanos() < nowNanos)
+			.forEach((load) -> count(load, -1));
 		this.placed.values().removeIf((load) -> load.expiryNanos() < nowNanos);
 	}
 
+	private void count(PlacedLoad load, int change) {
+		int requests = load.isRequest() ? change : 0;
+		this.ownRequests += load.own() ? requests : 0;
+		this.otherRequests += load.own() ? 0 : requests;
+	}
+
 	int running() {
 		return this.placed.size();
 	}
@@ -131,11 +149,7 @@
 	 * @return the number, without parts of prompts that are read for other instances
 	 */
 	int requests(boolean own) {
-		int requests = 0;
-		for (PlacedLoad load : this.placed.values()) {
-			requests += (load.own() == own && load.isRequest()) ? 1 : 0;
-		}
-		return requests;
+		return own ? this.ownRequests : this.otherRequests;
 	}
 
 	int streams() {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -149,18 +149,11 @@
 		return chosen;
 	}
 
-	/**
-	 * Lists the instances of a service that are registered and accept new work, including
-	 * those that failed recently.
-	 * @param service the name of the service
-	 * @param nowNanos the time on the monotonic clock
-	 * @return the instances in an order that is the same on all daemons
-	 */
 	List<InstanceLoad> accepting(String service, long nowNanos) {
-		return this.instances.values()
-			.stream()
-			.filter((load) -> load.instance().service().equals(service) && acceptsWork(load, nowNanos))
-			.toList();
+		// The order of the ids is the same on all daemons.
+		List<InstanceLoad> accepting = new ArrayList<>(this.instances.values());
+		accepting.removeIf((load) -> !load.instance().service().equals(service) || !open(load, nowNanos));
+		return accepting;
 	}
 
 	/**
@@ -180,8 +173,8 @@
 
 	private boolean mayReceive(InstanceLoad load, ServiceLimits service, Set<String> excluded, long nowNanos) {
 		UpstreamInstance instance = load.instance();
-		return instance.service().equals(service.name()) && acceptsWork(load, nowNanos)
-				&& !excluded.contains(instance.id()) && (service.coldPerSecond() <= 0
+		return instance.service().equals(service.name()) && open(load, nowNanos) && !excluded.contains(instance.id())
+				&& (service.coldPerSecond() <= 0
 						|| !load.coldLimitReached(service.coldPerSecond() / this.daemons, nowNanos));
 	}
 
@@ -192,6 +185,10 @@
 	 * @return true if it does
 	 */
 	boolean acceptsWork(InstanceLoad load, long nowNanos) {
+		return this.instances.get(load.instance().id()) == load && open(load, nowNanos);
+	}
+
+	private boolean open(InstanceLoad load, long nowNanos) {
 		return stays(load) && nowNanos >= this.notices.quietUntilNanos(load.instance());
 	}
 
@@ -208,7 +205,7 @@
 
 	private boolean stays(InstanceLoad load) {
 		UpstreamInstance instance = load.instance();
-		return this.instances.get(instance.id()) == load && !instance.draining() && !this.notices.leaving(instance)
+		return !instance.draining() && !this.notices.leaving(instance)
 				&& !this.evacuated.contains(instance.failureDomain());
 	}
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceTests.java
@@ -40,7 +40,8 @@
 	@CsvSource({ "8, false, 1500, 85, false", "73, false, 100, 50, true", "73, false, 100, 85, false",
 			"73, false, 1500, 85, true", "118, false, 700, 85, false", "73, false, 100, 100, false",
 			"73, false, 1500, 100, false", "73, false, 700, 100, true", "73, true, 700, 50, false",
-			"73, true, 700, 85, false" })
+			"73, true, 700, 85, false", "73, true, 1500, 85, true", "73, false, 100, 100, true",
+			"73, false, 1500, 100, true" })
 	void rejectsTenthOfPreviousRule(int gateways, boolean plain, long viewMillis, int percent, boolean slow) {
 		BalanceCase load = new BalanceCase(gateways, plain, viewMillis, percent, slow);
 		assertThat(run(load, BalanceRule.EVEN).rejectedShare())
