--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -13,6 +14,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.decision.forward.LogDecision;
+import org.rattanhead.decision.forward.ReportBalance;
 
 /**
  * The metrics of a gateway.
@@ -46,10 +48,20 @@
 		.labelNames("stream", "kind", "outcome")
 		.register(this.registry);
 
+	private final Gauge balance = Gauge.builder()
+		.name("rattanhead_forward_peak_to_mean")
+		.help("Requests on the busiest server relative to the mean, by service")
+		.labelNames("service")
+		.register(this.registry);
+
 	void countStoreCall(KeyedStream stream, String kind, boolean succeeded) {
 		this.storeCalls.labelValues(stream.name().toLowerCase(Locale.ROOT), kind, succeeded ? "ok" : "failed").inc();
 	}
 
+	void balance(ReportBalance command) {
+		this.balance.labelValues(command.service()).set(command.peakToMean());
+	}
+
 	void count(LogDecision command) {
 		this.decisions.labelValues(command.decision()).inc();
 		command.inputs()
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -189,10 +189,14 @@
 				forwarding.request().answerTokensHint().orElse(usual));
 		boolean settled = this.state.fleet().settled(nowNanos);
 		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected,
-				forwarding.elapsedMillis(nowNanos), settled, forwarding.rank().weight());
+				forwarding.elapsedMillis(nowNanos), settled, forwarding.rank().weight(), InstanceLoad::streams, false);
 		InstancePlacement placement = engine ? EnginePlacement::place : ServicePlacement::place;
 		List<InstanceLoad> candidates = this.state.fleet()
 			.candidates(forwarding.service(), forwarding.excluded(), nowNanos);
+		if (this.state.fleet().even()) {
+			return new EvenPlacement(this.state.fleet(), forwarding.service(), this.state.random()).place(query,
+					candidates, nowNanos);
+		}
 		if (!settled && !candidates.isEmpty()) {
 			Collections.rotate(candidates, this.state.random().nextInt(candidates.size()));
 		}
@@ -264,6 +268,10 @@
 				DecisionInput.of("running", plan.primary().running()),
 				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
 		inputs.addAll(AttemptLog.rank(forwarding));
+		if (plan.candidates() > 0) {
+			inputs.add(DecisionInput.of("view_age_ms", plan.viewAgeMillis()));
+			inputs.add(DecisionInput.of("candidates", plan.candidates()));
+		}
 		return new LogDecision("place", forwarding.request().id().value(), forwarding.request().callerAttempt(),
 				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent", inputs);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.EngineModel;
@@ -63,6 +64,10 @@
 
 	private int failures;
 
+	private int ownRequests;
+
+	private int otherRequests;
+
 	InstanceLoad(UpstreamInstance instance, long nowNanos) {
 		this.readUntilNanos = nowNanos;
 		this.avoidUntilNanos = nowNanos;
@@ -90,29 +95,63 @@
 		}
 	}
 
-	void place(LoadEntry entry, long nowNanos) {
+	/**
+	 * Adds work.
+	 * @param entry the work
+	 * @param own whether this daemon placed it
+	 * @param ageMillis how long ago it was placed
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the work, or empty if it was known
+	 */
+	Optional<PlacedLoad> place(LoadEntry entry, boolean own, long ageMillis, long nowNanos) {
 		if (this.placed.containsKey(entry.key())) {
-			return;
+			return Optional.empty();
 		}
-		this.readUntilNanos = Math.max(this.readUntilNanos, nowNanos) + Millis.toNanos(entry.readMillis());
-		this.placed.put(entry.key(), new PlacedLoad(entry, nowNanos + Millis.toNanos(entry.remainingMillis())));
+		this.readUntilNanos = Math.max(this.readUntilNanos, nowNanos)
+				+ Millis.toNanos(Math.max(0, entry.readMillis() - ageMillis));
+		PlacedLoad load = new PlacedLoad(entry, nowNanos + Millis.toNanos(entry.remainingMillis()), own);
+		this.placed.put(entry.key(), load);
+		count(load, 1);
+		return Optional.of(load);
 	}
 
 	void remove(String key, long nowNanos) {
-		this.placed.remove(key);
+		PlacedLoad removed = this.placed.remove(key);
+		if (removed != null) {
+			count(removed, -1);
+		}
 		if (this.placed.isEmpty()) {
 			this.readUntilNanos = nowNanos;
 		}
 	}
 
 	void expire(long nowNanos) {
+		this.placed.values()
+			.stream()
+			.filter((load) -> load.expiryNanos() < nowNanos)
+			.forEach((load) -> count(load, -1));
 		this.placed.values().removeIf((load) -> load.expiryNanos() < nowNanos);
 	}
 
+	private void count(PlacedLoad load, int change) {
+		int requests = load.isRequest() ? change : 0;
+		this.ownRequests += load.own() ? requests : 0;
+		this.otherRequests += load.own() ? 0 : requests;
+	}
+
 	int running() {
 		return this.placed.size();
 	}
 
+	/**
+	 * Counts the requests of this daemon, or those of others.
+	 * @param own whether to count those of this daemon
+	 * @return the number, without parts of prompts that are read for other instances
+	 */
+	int requests(boolean own) {
+		return own ? this.ownRequests : this.otherRequests;
+	}
+
 	int streams() {
 		int streams = 0;
 		for (PlacedLoad load : this.placed.values()) {
@@ -240,11 +279,21 @@
 		this.sentNanos.addLast(nowNanos);
 	}
 
-	boolean coldLimitReached(double share, long nowNanos) {
+	/**
+	 * Counts the requests that this daemon sent in the last second.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the number
+	 */
+	int sentLately(long nowNanos) {
 		while (!this.sentNanos.isEmpty() && this.sentNanos.peekFirst() < nowNanos - SECOND_NANOS) {
 			this.sentNanos.pollFirst();
 		}
-		return nowNanos < this.coldUntilNanos && this.sentNanos.size() >= Math.max(1, (int) share);
+		return this.sentNanos.size();
+	}
+
+	boolean coldLimitReached(double share, long nowNanos) {
+		int sent = sentLately(nowNanos);
+		return nowNanos < this.coldUntilNanos && sent >= Math.max(1, (int) share);
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -15,6 +15,8 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.ServiceLimits;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.balance.PeerActivity;
+import org.rattanhead.decision.balance.ServiceActivity;
 import org.rattanhead.decision.notice.InstanceNotices;
 
 /**
@@ -36,14 +38,34 @@
 
 	private final InstanceNotices notices = new InstanceNotices();
 
+	private final PeerActivity activity;
+
+	private final int evenLoadFrom;
+
 	private Set<String> evacuated = Set.of();
 
 	private int daemons = 1;
 
+	private int fleetDaemons = 1;
+
 	private long lastExpireNanos = Long.MIN_VALUE;
 
 	private long firstUpdateNanos = Long.MAX_VALUE;
 
+	UpstreamFleet() {
+		this("", Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a fleet.
+	 * @param self the host of this daemon
+	 * @param evenLoadFrom the number of daemons from which load is placed evenly
+	 */
+	UpstreamFleet(String self, int evenLoadFrom) {
+		this.activity = new PeerActivity(self);
+		this.evenLoadFrom = evenLoadFrom;
+	}
+
 	void update(List<UpstreamInstance> registered, long nowNanos) {
 		this.firstUpdateNanos = Math.min(this.firstUpdateNanos, nowNanos);
 		Set<String> ids = new HashSet<>();
@@ -77,6 +99,27 @@
 		this.daemons = Math.max(1, newDaemons);
 	}
 
+	void fleetDaemons(int newDaemons) {
+		this.fleetDaemons = newDaemons;
+	}
+
+	boolean even() {
+		return this.fleetDaemons >= this.evenLoadFrom;
+	}
+
+	ServiceActivity activity(ServiceLimits service, long nowNanos) {
+		return this.activity.of(service.name(), this.daemons, nowNanos);
+	}
+
+	PeerActivity activity() {
+		return this.activity;
+	}
+
+	void lost(String host, long nowNanos) {
+		replace(host, List.of(), nowNanos);
+		this.activity.lost(host);
+	}
+
 	Optional<InstanceLoad> find(String id) {
 		return Optional.ofNullable(this.instances.get(id));
 	}
@@ -123,8 +166,8 @@
 
 	private boolean mayReceive(InstanceLoad load, ServiceLimits service, Set<String> excluded, long nowNanos) {
 		UpstreamInstance instance = load.instance();
-		return instance.service().equals(service.name()) && acceptsWork(load, nowNanos)
-				&& !excluded.contains(instance.id()) && (service.coldPerSecond() <= 0
+		return instance.service().equals(service.name()) && open(load, nowNanos) && !excluded.contains(instance.id())
+				&& (service.coldPerSecond() <= 0
 						|| !load.coldLimitReached(service.coldPerSecond() / this.daemons, nowNanos));
 	}
 
@@ -135,6 +178,10 @@
 	 * @return true if it does
 	 */
 	boolean acceptsWork(InstanceLoad load, long nowNanos) {
+		return this.instances.get(load.instance().id()) == load && open(load, nowNanos);
+	}
+
+	private boolean open(InstanceLoad load, long nowNanos) {
 		return stays(load) && nowNanos >= this.notices.quietUntilNanos(load.instance());
 	}
 
@@ -151,7 +198,7 @@
 
 	private boolean stays(InstanceLoad load) {
 		UpstreamInstance instance = load.instance();
-		return this.instances.get(instance.id()) == load && !instance.draining() && !this.notices.leaving(instance)
+		return !instance.draining() && !this.notices.leaving(instance)
 				&& !this.evacuated.contains(instance.failureDomain());
 	}
 
@@ -181,19 +228,20 @@
 	 * recently failed ones.
 	 * @param service the service
 	 * @param nowNanos the time on the monotonic clock
-	 * @return the instances
+	 * @return the instances in an order that is the same on all daemons
 	 */
 	List<InstanceLoad> accepting(ServiceLimits service, long nowNanos) {
-		return this.instances.values()
-			.stream()
-			.filter((load) -> load.instance().service().equals(service.name()) && acceptsWork(load, nowNanos))
-			.toList();
+		List<InstanceLoad> accepting = new ArrayList<>(this.instances.values());
+		accepting.removeIf((load) -> !load.instance().service().equals(service.name()) || !open(load, nowNanos));
+		return accepting;
 	}
 
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
-			load.place(entry, nowNanos);
+			load.place(entry, this.activity.isSelf(host), even() ? this.activity.entryAgeMillis(host) : 0, nowNanos)
+				.filter(PlacedLoad::isRequest)
+				.ifPresent((added) -> this.activity.placed(host, load.instance().service(), nowNanos));
 			this.instanceByKey.put(entry.key(), entry.instance());
 			this.keysByHost.computeIfAbsent(host, (name) -> new HashSet<>()).add(entry.key());
 		}
@@ -221,6 +269,10 @@
 		entries.forEach((entry) -> place(host, entry, nowNanos));
 	}
 
+	List<ReportBalance> balance() {
+		return even() ? BalanceReports.of(this.instances.values()) : List.of();
+	}
+
 	/**
 	 * Removes expired work and finds instances that are overdue.
 	 * @param nowNanos the time on the monotonic clock
