Let workspaces over their share yield while capacity is short

Cause: a burst of one workspace took the slots of the others. Change: in a service with several ranks that is short of capacity, requests of a workspace with more than its share of the streams are sent one urgency step later and count as deferred; held prompts that yield go after the others of their rank. The share is equal; unused shares are lent. LoadEntry gets workspaceHash.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -47,8 +47,11 @@
 
 	private final ForwardState state;
 
-	Dispatcher(ForwardState state) {
+	private final FairSharing sharing;
+
+	Dispatcher(ForwardState state, FairSharing sharing) {
 		this.state = state;
+		this.sharing = sharing;
 	}
 
 	/**
@@ -117,8 +120,8 @@
 		// id of this attempt.
 		boolean freshConnection = repeated || forwarding.route().kind() == RouteKind.AT_MOST_ONCE;
 		ForwardCall call = new ForwardCall(forwarding.attempt(), forwarding.request(), plan.primary().instance(),
-				forwarding.workspace(), forwarding.remainingMillis(nowNanos), urgency(forwarding, nowNanos), helpers,
-				resumeAfter, freshConnection);
+				forwarding.policy().workspace(), forwarding.remainingMillis(nowNanos), urgency(forwarding, nowNanos),
+				helpers, resumeAfter, freshConnection);
 		forwarding.mayHaveRun();
 		forwarding.stage(ForwardStage.SENT, responseDeadline(forwarding, nowNanos));
 		forwarding.markSent(nowNanos);
@@ -192,8 +195,8 @@
 		long gapMillis = (forwarding.route().kind() == RouteKind.STREAM) ? forwarding.route().targetGapMillis() : 0;
 		List<LoadEntry> load = new ArrayList<>();
 		load.add(new LoadEntry(attempt.toString(), plan.primary().instance().id(), plan.primaryMemoryTokens(),
-				plan.partMillis(), gapMillis, forwarding.worth(), remainingMillis,
-				deferred(forwarding, plan, nowNanos)));
+				plan.partMillis(), gapMillis, forwarding.worth(), remainingMillis, deferred(forwarding, plan, nowNanos),
+				forwarding.policy().workspaceHash()));
 		for (PlannedHelper helper : plan.helpers()) {
 			load.add(new LoadEntry(ticketName(attempt, helper), helper.load().instance().id(), helper.reservedTokens(),
 					plan.partMillis(), 0, 0, remainingMillis));
@@ -201,22 +204,23 @@
 		return load;
 	}
 
-	private static boolean deferred(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
-		return forwarding.service().engine().isPresent() && urgent(plan) && forwarding.elapsedMillis(nowNanos)
-				+ plan.firstTokenMillis() > forwarding.route().targetLatencyMillis();
+	private boolean deferred(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+		return forwarding.service().engine().isPresent() && urgent(plan)
+				&& (forwarding.elapsedMillis(nowNanos) + plan.firstTokenMillis() > forwarding.route()
+					.targetLatencyMillis() || this.sharing.yields(forwarding, plan));
 	}
 
 	private static boolean urgent(PlacementPlan plan) {
 		return plan.partMillis() <= MAX_URGENT_READ_MILLIS && plan.helpers().isEmpty();
 	}
 
-	private static int urgency(Forwarding forwarding, long nowNanos) {
+	private int urgency(Forwarding forwarding, long nowNanos) {
 		double elapsedMillis = forwarding.elapsedMillis(nowNanos);
 		double waitedShare = elapsedMillis / Math.max(1, elapsedMillis + forwarding.remainingMillis(nowNanos));
 		UrgencyRule rule = forwarding.service().engine().isPresent() ? UrgencyRule.of(forwarding.rank())
 				: UrgencyRule.UNRANKED;
 		return rule.urgency(new EngineRequest(forwarding.rank(), urgent(forwarding.plan()), forwarding.deferred(),
-				false, waitedShare));
+				this.sharing.yields(forwarding, forwarding.plan()), waitedShare));
 	}
 
 	private static List<Ticket> tickets(PlacementPlan plan, AttemptId attempt) {
@@ -243,7 +247,7 @@
 				+ Math.round(FIRST_TOKEN_TIMEOUT_FACTOR * forwarding.plan().firstTokenMillis()));
 	}
 
-	private static LogDecision logPlacement(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+	private LogDecision logPlacement(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
 		List<DecisionInput> inputs = new ArrayList<>(List.of(DecisionInput.of("attempt", forwarding.attempts()),
 				DecisionInput.of("prompt_tokens", forwarding.request().tokens().orElse(NO_TOKENS).promptTokens()),
 				DecisionInput.of("helpers", plan.helpers().size()),
@@ -252,6 +256,9 @@
 				DecisionInput.of("running", plan.primary().running()),
 				DecisionInput.of("left_ms", forwarding.remainingMillis(nowNanos))));
 		inputs.addAll(AttemptLog.rank(forwarding));
+		if (forwarding.rank().active()) {
+			inputs.add(DecisionInput.of("urgency", urgency(forwarding, nowNanos)));
+		}
 		return new LogDecision("place", forwarding.request().id().value(), forwarding.request().callerAttempt(),
 				plan.primary().instance().id(), plan.reserves() ? "reserving" : "sent", inputs);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -1,7 +1,6 @@
 package org.rattanhead.decision.forward;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
@@ -30,6 +29,8 @@
 
 	private final ForwardAdmission admission;
 
+	private final FairSharing sharing;
+
 	private final Dispatcher dispatcher;
 
 	private final AttemptRules attempts;
@@ -49,7 +50,8 @@
 	public ForwardDecider(String self, ForwardLimits limits, RandomGenerator random) {
 		this.state = new ForwardState(self, limits, random);
 		this.admission = new ForwardAdmission(this.state);
-		this.dispatcher = new Dispatcher(this.state);
+		this.sharing = new FairSharing(this.state);
+		this.dispatcher = new Dispatcher(this.state, this.sharing);
 		this.attempts = new AttemptRules(this.state, this.dispatcher);
 		this.crashes = new CrashRules(this.state, this.attempts);
 		this.notices = new NoticeRules(this.state);
@@ -212,8 +214,7 @@
 				this.attempts.overdue(forwarding, nowNanos, commands);
 			}
 		}
-		held.sort(Comparator.comparing(Forwarding::heldOrder));
-		held.forEach((forwarding) -> dispatch(forwarding, nowNanos, commands));
+		this.sharing.order(held).forEach((forwarding) -> dispatch(forwarding, nowNanos, commands));
 		this.state.fleet().expire(nowNanos);
 		this.state.tickets().tick(nowNanos, commands);
 		this.crashes.publish(nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -218,8 +218,8 @@
 		return this.policy.service();
 	}
 
-	String workspace() {
-		return this.policy.workspace();
+	RequestPolicy policy() {
+		return this.policy;
 	}
 
 	RequestRank rank() {
@@ -287,8 +287,8 @@
 		return Millis.ofNanos(nowNanos - this.startNanos);
 	}
 
-	HeldOrder heldOrder() {
-		return new HeldOrder(rank().position(), this.deadlineNanos);
+	HeldOrder heldOrder(boolean yielding) {
+		return new HeldOrder(rank().position(), yielding, this.deadlineNanos);
 	}
 
 	long remainingMillis(long nowNanos) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -9,6 +9,7 @@
 import org.rattanhead.core.forward.EngineModel;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.fairness.WorkspaceShares;
 
 /**
  * The state of an instance as seen by this daemon: the work that all daemons placed on
@@ -121,6 +122,18 @@
 		return streams;
 	}
 
+	/**
+	 * Counts the streams by workspace, also those that wait for a slot.
+	 * @param shares receives the streams
+	 */
+	void countStreams(WorkspaceShares shares) {
+		for (PlacedLoad load : this.placed.values()) {
+			if (load.entry().writesStream()) {
+				shares.add(load.entry().workspaceHash());
+			}
+		}
+	}
+
 	/**
 	 * Estimates how long new work waits for a slot that streams occupy. Deferred work is
 	 * admitted after it.
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
@@ -2,6 +2,7 @@
 
 import org.rattanhead.core.forward.Route;
 import org.rattanhead.core.forward.ServiceLimits;
+import org.rattanhead.decision.fairness.WorkspaceShares;
 import org.rattanhead.decision.rank.RequestRank;
 
 /**
@@ -13,4 +14,14 @@
  * @param rank its rank in the service
  */
 record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank) {
+
+	/**
+	 * Returns a hash of the workspace for the load entries.
+	 * @return the hash, the same on all daemons; {@link WorkspaceShares#UNKNOWN} if the
+	 * service has only one rank or the workspace is unknown
+	 */
+	int workspaceHash() {
+		return this.rank.active() ? this.workspace.hashCode() : WorkspaceShares.UNKNOWN;
+	}
+
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -15,6 +15,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.ServiceLimits;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.fairness.WorkspaceShares;
 import org.rattanhead.decision.notice.InstanceNotices;
 
 /**
@@ -190,6 +191,19 @@
 			.count();
 	}
 
+	/**
+	 * Counts the streams on the instances of a service by workspace.
+	 * @param service the service
+	 * @param shares receives them
+	 */
+	void countStreams(ServiceLimits service, WorkspaceShares shares) {
+		for (InstanceLoad load : this.instances.values()) {
+			if (load.instance().service().equals(service.name())) {
+				load.countStreams(shares);
+			}
+		}
+	}
+
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankOverloadTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankOverloadTests.java
@@ -37,7 +37,7 @@
 			int shortShare, int mediumShare, int longShare) {
 		List<Long> tokens = List.of(shortTokens, mediumTokens, longTokens);
 		List<Integer> shares = List.of(shortShare, mediumShare, longShare);
-		RankedFleet fleet = new RankedFleet(GATEWAYS, ENGINES, RankedConfiguration.of(0, 1, 2));
+		RankedFleet fleet = new RankedFleet(GATEWAYS, ENGINES, true, RankedConfiguration.of(0, 1, 2));
 		Random random = new Random(1);
 		double gapMillis = 1 / (load * capacityPerMilli(tokens, shares));
 		Map<Integer, List<RequestId>> submitted = new TreeMap<>();
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankedFleet.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankedFleet.java
@@ -17,6 +17,7 @@
 import org.rattanhead.core.forward.Configuration;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.ForwardRequest;
+import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.TokenCounts;
 import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.core.request.AttemptId;
@@ -44,11 +45,14 @@
 
 	private final Map<AttemptId, QueueingEngine> engineByAttempt = new HashMap<>();
 
+	private final boolean workspacesExchanged;
+
 	private final Set<RequestId> begun = new HashSet<>();
 
 	private final Set<RequestId> served = new HashSet<>();
 
-	RankedFleet(int gatewayCount, int engineCount, Configuration configuration) {
+	RankedFleet(int gatewayCount, int engineCount, boolean workspacesExchanged, Configuration configuration) {
+		this.workspacesExchanged = workspacesExchanged;
 		List<UpstreamInstance> instances = ForwardRig.instances(engineCount, 0);
 		instances.forEach((instance) -> this.engines.put(instance.address(),
 				new QueueingEngine(this.schedule, this, this.engines)));
@@ -150,16 +154,23 @@
 			handle(gateway, new TicketReplied(reserve.ticket(), TicketOutcome.GRANTED));
 		}
 		else if (command instanceof PublishHeartbeat heartbeat) {
-			sendToOthers(gateway, new PeerHeartbeatReceived(host, heartbeat.load(), heartbeat.crashes()));
+			sendToOthers(gateway, new PeerHeartbeatReceived(host, exchanged(heartbeat.load()), heartbeat.crashes()));
 		}
 		else if (command instanceof PublishLoadStarted started) {
-			sendToOthers(gateway, new PeerLoadStarted(host, started.entries()));
+			sendToOthers(gateway, new PeerLoadStarted(host, exchanged(started.entries())));
 		}
 		else if (command instanceof PublishLoadEnded ended) {
 			sendToOthers(gateway, new PeerLoadEnded(host, ended.keys()));
 		}
 	}
 
+	private List<LoadEntry> exchanged(List<LoadEntry> entries) {
+		return this.workspacesExchanged ? entries : entries.stream()
+			.map((entry) -> new LoadEntry(entry.key(), entry.instance(), entry.memoryTokens(), entry.readMillis(),
+					entry.gapMillis(), entry.worth(), entry.remainingMillis(), entry.deferred()))
+			.toList();
+	}
+
 	private void sendToOthers(int sender, ForwardEvent event) {
 		this.schedule.after(STEP_MILLIS, () -> {
 			for (int index = 0; index < this.gateways.size(); index++) {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/rank/RankPartsTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/rank/RankPartsTests.java
@@ -69,13 +69,15 @@
 			.isEqualTo(urgency);
 	}
 
-	@ParameterizedTest(name = "position and deadline {0} before {1}")
-	@CsvSource({ "0 9, 1 2", "1 2, 1 3", "1 9223372036854775807, 1 -9223372036854775808" })
-	void ordersHeldRequestsByRankThenDeadline(String first, String second) {
+	@ParameterizedTest(name = "position, yielding and deadline {0} before {1}")
+	@CsvSource({ "0 true 9, 1 false 2", "1 false 9, 1 true 2", "1 true 2, 1 true 3",
+			"1 true 9223372036854775807, 1 true -9223372036854775808" })
+	void ordersHeldRequestsByRankThenShareThenDeadline(String first, String second) {
 		List<HeldOrder> orders = new ArrayList<>();
 		Stream.of(second, first)
 			.map((text) -> text.split(" "))
-			.forEach((parts) -> orders.add(new HeldOrder(Integer.parseInt(parts[0]), Long.parseLong(parts[1]))));
+			.forEach((parts) -> orders.add(new HeldOrder(Integer.parseInt(parts[0]), Boolean.parseBoolean(parts[1]),
+					Long.parseLong(parts[2]))));
 		HeldOrder last = orders.get(0);
 		orders.sort(null);
 		assertThat(orders).last().isEqualTo(last);
