--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -91,6 +91,7 @@
 		}
 		AttemptId attempt = forwarding.nextAttempt();
 		List<LoadEntry> load = load(forwarding, plan, attempt, nowNanos);
+		this.capacity.placed(forwarding, nowNanos);
 		forwarding.begin(plan, load);
 		load.forEach((entry) -> this.state.fleet().place(this.state.self(), entry, nowNanos));
 		commands.add(new PublishLoadStarted(load));
@@ -211,7 +212,8 @@
 		long gapMillis = (forwarding.route().kind() == RouteKind.STREAM) ? forwarding.route().targetGapMillis() : 0;
 		List<LoadEntry> load = new ArrayList<>();
 		load.add(new LoadEntry(attempt.toString(), plan.primary().instance().id(), plan.primaryMemoryTokens(),
-				plan.partMillis(), gapMillis, forwarding.worth(), remainingMillis, deferred(forwarding, plan, nowNanos),
+				plan.partMillis(), gapMillis, forwarding.worth(), remainingMillis,
+				this.capacity.deferred(forwarding, late(forwarding, plan, nowNanos), nowNanos),
 				forwarding.policy().workspaceHash()));
 		for (PlannedHelper helper : plan.helpers()) {
 			load.add(new LoadEntry(ticketName(attempt, helper), helper.load().instance().id(), helper.reservedTokens(),
@@ -220,7 +222,7 @@
 		return load;
 	}
 
-	private boolean deferred(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
+	private boolean late(Forwarding forwarding, PlacementPlan plan, long nowNanos) {
 		return forwarding.service().engine().isPresent() && urgent(plan)
 				&& (forwarding.elapsedMillis(nowNanos) + plan.firstTokenMillis() > forwarding.route()
 					.targetLatencyMillis() || this.sharing.yields(forwarding, plan));
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -1,7 +1,5 @@
 package org.rattanhead.decision.forward;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -18,18 +16,6 @@
  */
 final class InstanceLoad {
 
-	/**
-	 * How long an instance is avoided after a first failure; doubles with each
-	 * consecutive one.
-	 */
-	private static final long AVOID_NANOS = 400_000_000L;
-
-	private static final long MAX_AVOID_NANOS = 6_400_000_000L;
-
-	private static final int MAX_DOUBLINGS = 4;
-
-	private static final long SECOND_NANOS = 1_000_000_000L;
-
 	/** Share of the target gap of a stream above which a pause counts as too long. */
 	private static final double GAP_SHARE = 0.85;
 
@@ -49,29 +35,27 @@
 
 	private final Map<String, PlacedLoad> placed = new LinkedHashMap<>();
 
-	private final Deque<Long> sentNanos = new ArrayDeque<>();
+	private final SentRequests sent = new SentRequests();
 
 	private final ResponseTimes responseTimes = new ResponseTimes();
 
+	private final Avoidance avoidance;
+
 	private UpstreamInstance instance;
 
 	private long readUntilNanos;
 
 	private long coldUntilNanos;
 
-	private long avoidUntilNanos;
-
 	private long lastResponseNanos;
 
-	private int failures;
-
 	private int ownRequests;
 
 	private int otherRequests;
 
 	InstanceLoad(UpstreamInstance instance, long nowNanos) {
 		this.readUntilNanos = nowNanos;
-		this.avoidUntilNanos = nowNanos;
+		this.avoidance = new Avoidance(nowNanos);
 		this.coldUntilNanos = nowNanos;
 		this.lastResponseNanos = nowNanos - Millis.toNanos(ALIVE_MILLIS);
 		update(instance, nowNanos);
@@ -254,42 +238,31 @@
 
 	void failed(long nowNanos) {
 		this.responseTimes.clearExpected();
-		long nanos = AVOID_NANOS << Math.min(this.failures, MAX_DOUBLINGS);
-		this.failures++;
-		this.avoidUntilNanos = nowNanos + Math.min(nanos, MAX_AVOID_NANOS);
+		this.avoidance.failed(nowNanos);
 	}
 
 	void overloaded(long nowNanos) {
-		this.avoidUntilNanos = Math.max(this.avoidUntilNanos, nowNanos + AVOID_NANOS / 2);
+		this.avoidance.overloaded(nowNanos);
 	}
 
 	void avoidUntil(long nanos) {
-		this.avoidUntilNanos = Math.max(this.avoidUntilNanos, nanos);
+		this.avoidance.extend(nanos);
 	}
 
-	/**
-	 * Admits one request at a time, after a time without requests, until one completes.
-	 */
 	void rampUp() {
-		this.failures = Math.max(1, this.failures);
+		this.avoidance.rampUp();
 	}
 
 	void succeeded() {
-		this.failures = 0;
+		this.avoidance.succeeded();
 	}
 
-	/**
-	 * Returns whether other instances are preferred. After a failure the instance gets
-	 * one request at a time until it completes one.
-	 * @param nowNanos the time on the monotonic clock
-	 * @return true if it is avoided
-	 */
 	boolean avoided(long nowNanos) {
-		return nowNanos < this.avoidUntilNanos || (this.failures > 0 && this.responseTimes.awaited());
+		return this.avoidance.active(this.responseTimes.awaited(), nowNanos);
 	}
 
 	void sent(long nowNanos) {
-		this.sentNanos.addLast(nowNanos);
+		this.sent.add(nowNanos);
 	}
 
 	/**
@@ -298,15 +271,11 @@
 	 * @return the number
 	 */
 	int sentLately(long nowNanos) {
-		while (!this.sentNanos.isEmpty() && this.sentNanos.peekFirst() < nowNanos - SECOND_NANOS) {
-			this.sentNanos.pollFirst();
-		}
-		return this.sentNanos.size();
+		return this.sent.count(nowNanos);
 	}
 
 	boolean coldLimitReached(double share, long nowNanos) {
-		int sent = sentLately(nowNanos);
-		return nowNanos < this.coldUntilNanos && sent >= Math.max(1, (int) share);
+		return nowNanos < this.coldUntilNanos && sentLately(nowNanos) >= Math.max(1, (int) share);
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -33,9 +32,7 @@
 
 	private final Map<String, InstanceLoad> instances = new TreeMap<>();
 
-	private final Map<String, String> instanceByKey = new HashMap<>();
-
-	private final Map<String, Set<String>> keysByHost = new HashMap<>();
+	private final WorkKeys keys = new WorkKeys();
 
 	private final InstanceNotices notices = new InstanceNotices();
 
@@ -121,6 +118,10 @@
 		this.activity.lost(host);
 	}
 
+	int daemons() {
+		return this.daemons;
+	}
+
 	Optional<InstanceLoad> find(String id) {
 		return Optional.ofNullable(this.instances.get(id));
 	}
@@ -256,26 +257,18 @@
 			load.place(entry, this.activity.isSelf(host), even() ? this.activity.entryAgeMillis(host) : 0, nowNanos)
 				.filter(PlacedLoad::isRequest)
 				.ifPresent((added) -> this.activity.placed(host, load.instance().service(), nowNanos));
-			this.instanceByKey.put(entry.key(), entry.instance());
-			this.keysByHost.computeIfAbsent(host, (name) -> new HashSet<>()).add(entry.key());
+			this.keys.add(host, entry.key(), entry.instance());
 		}
 	}
 
 	void remove(String host, String key, long nowNanos) {
-		Set<String> keys = this.keysByHost.get(host);
-		if (keys != null) {
-			keys.remove(key);
-		}
-		String id = this.instanceByKey.remove(key);
-		if (id != null && this.instances.containsKey(id)) {
-			this.instances.get(id).remove(key, nowNanos);
-		}
+		this.keys.remove(host, key).map(this.instances::get).ifPresent((load) -> load.remove(key, nowNanos));
 	}
 
 	void replace(String host, List<LoadEntry> entries, long nowNanos) {
 		Set<String> reported = new HashSet<>();
 		entries.forEach((entry) -> reported.add(entry.key()));
-		for (String key : List.copyOf(this.keysByHost.getOrDefault(host, Set.of()))) {
+		for (String key : this.keys.of(host)) {
 			if (!reported.contains(key)) {
 				remove(host, key, nowNanos);
 			}
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -167,12 +167,14 @@
 			.setWorth(entry.worth())
 			.setRemainingMillis(entry.remainingMillis())
 			.setDeferred(entry.deferred())
+			.setWorkspaceHash(entry.workspaceHash())
 			.build();
 	}
 
 	private static LoadEntry decode(MeshLoad load) {
 		return new LoadEntry(load.getKey(), load.getInstance(), load.getMemoryTokens(), load.getReadMillis(),
-				load.getGapMillis(), load.getWorth(), load.getRemainingMillis(), load.getDeferred());
+				load.getGapMillis(), load.getWorth(), load.getRemainingMillis(), load.getDeferred(),
+				load.getWorkspaceHash());
 	}
 
 }
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -205,7 +205,7 @@
 	private static List<LoadEntry> load(int entries) {
 		return IntStream.range(0, entries)
 			.mapToObj((index) -> new LoadEntry("front-thies-a-1-mo5liv5x-" + index + ".1", "i-0123456789", 6_000, 34,
-					250, 1.4, 9_000))
+					250, 1.4, 9_000, index % 2 == 0, -index))
 			.toList();
 	}
 
