Leave a failure domain whose instances were replaced; refuse at once only in large fleets

Change: an answer of another instance excludes its failure domain for that request, if another one accepts work. The setting refuse-from (section placement, default 17) is the number of gateways from which requests are refused at once.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewaySettingsFile.java
@@ -70,7 +70,8 @@
 		return new ForwardLimits(section.decimal("retry-ratio", 0, 1),
 				section.decimal("retry-slack", 0, MAX_RETRY_SLACK), section.durationMillis("retry-window"),
 				section.durationMillis("max-hold"),
-				placement.integer("even-load-from", 1, MAX_DAEMONS, ForwardLimits.DEFAULT_EVEN_LOAD_FROM));
+				placement.integer("even-load-from", 1, MAX_DAEMONS, ForwardLimits.DEFAULT_EVEN_LOAD_FROM),
+				placement.integer("refuse-from", 1, MAX_DAEMONS, ForwardLimits.DEFAULT_REFUSE_FROM));
 	}
 
 }
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewaySettingsTests.java
@@ -63,6 +63,12 @@
 		assertThat(GatewaySettingsFile.parse(file(VALID + section)).limits().evenLoadFrom()).isEqualTo(expected);
 	}
 
+	@ParameterizedTest(name = "\"{0}\": {1}")
+	@CsvSource({ "'', 17", "'[placement]\nrefuse-from = 9\n', 9" })
+	void readsFleetFromWhichRequestsAreRefused(String section, int expected) throws Exception {
+		assertThat(GatewaySettingsFile.parse(file(VALID + section)).limits().refuseFrom()).isEqualTo(expected);
+	}
+
 	@ParameterizedTest(name = "{0} -> {1}")
 	@CsvSource(delimiter = '|', value = { "host = a||host", "callers = 10.0.0.1:1|callers = name:1|callers",
 			"retry-ratio = 0.2|retry-ratio = x|retry-ratio", "processor-share = 0.75|processor-share = all|share",
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -172,7 +172,7 @@
 			forwarding.stage(forwarding.stage(), IdleTimeout.deadlineNanos(forwarding.route(), nowNanos));
 		}
 		else if (forwarding.service().engine().isPresent() && forwarding.plan().primary().alive(nowNanos)
-				&& (CapacityRules.mayBeQueued(forwarding) || forwarding.extend(MAX_TIMEOUT_EXTENSIONS))) {
+				&& (this.dispatcher.capacity().mayBeQueued(forwarding) || forwarding.extend(MAX_TIMEOUT_EXTENSIONS))) {
 			forwarding.stage(forwarding.stage(), nowNanos + Millis.toNanos(TIMEOUT_EXTENSION_MILLIS));
 		}
 		else if (mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasAlternative(forwarding, nowNanos)) {
@@ -240,6 +240,7 @@
 		forwarding.exclude(fault.instance().id());
 		if (head.verdict() == AnswerVerdict.WRONG_INSTANCE) {
 			fault.failed(nowNanos);
+			ReplacedInstances.leaveDomain(forwarding, fault, this.state.fleet(), nowNanos);
 		}
 		else {
 			fault.overloaded(nowNanos);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
@@ -51,7 +51,7 @@
 	 * @return true if it is
 	 */
 	boolean shortage(ServiceLimits service, long nowNanos) {
-		List<InstanceOccupancy> instances = occupancy(service, nowNanos);
+		List<InstanceOccupancy> instances = this.state.refusesForCapacity() ? occupancy(service, nowNanos) : List.of();
 		if (instances.isEmpty()) {
 			return false;
 		}
@@ -97,7 +97,7 @@
 	 */
 	Optional<DispatchResult> refusal(Forwarding forwarding, PlacementPlan plan, long nowNanos,
 			List<ForwardCommand> commands) {
-		if (forwarding.runs() > 0 || goesFirst(forwarding, plan) || hasRoom(forwarding, plan, nowNanos)
+		if (forwarding.runs() > 0 || isWithinShare(forwarding, plan) || hasRoom(forwarding, plan, nowNanos)
 				|| !shortage(forwarding.service(), nowNanos)) {
 			return Optional.empty();
 		}
@@ -161,20 +161,20 @@
 	 * @param forwarding a request that was sent
 	 * @return true if it may wait there
 	 */
-	static boolean mayBeQueued(Forwarding forwarding) {
-		return forwarding.answerBeganNanos().isEmpty() && forwarding.service()
-			.engine()
-			.filter((engine) -> forwarding.plan().primary().streams() > engine.slots())
-			.isPresent();
-	}
-
-	/**
-	 * Returns whether a request to a service with several ranks waits its turn. The
-	 * estimate counts what is placed regardless of its rank, and would refuse the more
-	 * urgent of two requests as often as the other. Only the workspace that uses more
-	 * than its share is refused there.
-	 */
-	private boolean goesFirst(Forwarding forwarding, PlacementPlan plan) {
+	boolean mayBeQueued(Forwarding forwarding) {
+		return this.state.refusesForCapacity() && forwarding.answerBeganNanos().isEmpty()
+				&& forwarding.service()
+					.engine()
+					.filter((engine) -> forwarding.plan().primary().streams() > engine.slots())
+					.isPresent();
+	}
+
+	// The estimate counts what is placed regardless of its rank, and would refuse the
+	// more
+	// urgent of two requests as often as the other. With several ranks, only the
+	// workspace
+	// that uses more than its share is refused.
+	private boolean isWithinShare(Forwarding forwarding, PlacementPlan plan) {
 		return forwarding.rank().active() && !this.sharing.yields(forwarding, plan);
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -57,6 +57,10 @@
 		this.sharing = sharing;
 	}
 
+	CapacityRules capacity() {
+		return this.capacity;
+	}
+
 	OptionalLong retryAfterMillis(Forwarding forwarding, long nowNanos) {
 		return this.capacity.retryAfterMillis(forwarding, nowNanos);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -141,6 +141,7 @@
 			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
 				fleet.daemons(event.daemons());
 				fleet.fleetDaemons(event.fleet());
+				this.state.fleetDaemons(event.fleet());
 				this.state.budget().daemons(event.daemons());
 			}));
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -37,6 +37,10 @@
 
 	private RouteTable routes;
 
+	private final int refuseFrom;
+
+	private int fleetDaemons = 1;
+
 	private boolean refusesNew;
 
 	private OptionalLong shutdownNanos = OptionalLong.empty();
@@ -45,6 +49,7 @@
 		this.self = self;
 		this.random = random;
 		this.fleet = new UpstreamFleet(self, limits.evenLoadFrom());
+		this.refuseFrom = limits.refuseFrom();
 		this.budget = new RetryBudget(limits);
 		this.tickets = new TicketRegistry(limits.maxHoldMillis());
 	}
@@ -89,6 +94,18 @@
 		this.routes = newRoutes;
 	}
 
+	void fleetDaemons(int newDaemons) {
+		this.fleetDaemons = newDaemons;
+	}
+
+	/**
+	 * Returns whether requests are refused for lack of capacity.
+	 * @return false in a small fleet
+	 */
+	boolean refusesForCapacity() {
+		return this.fleetDaemons >= this.refuseFrom;
+	}
+
 	boolean refusesNew() {
 		return this.refusesNew;
 	}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RefusalTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RefusalTests.java
@@ -40,8 +40,7 @@
 	}
 
 	// Guards against a held prompt that waits until its deadline although the engines
-	// have
-	// no time left for it.
+	// have no time left for it.
 	@ParameterizedTest(name = "{0} ms to read on each engine")
 	@CsvSource({ "20000" })
 	void refusesHeldPromptOnceItCannotBeServed(long readMillis) {
@@ -55,6 +54,19 @@
 		assertThat(rig.last(RefuseRequest.class).problem().kind()).isEqualTo(ProblemKind.OVERLOADED);
 	}
 
+	// Guards against refusals in small fleets, which serve their callers as before.
+	@ParameterizedTest(name = "{0} daemons, from {1}: refused {2}")
+	@CsvSource({ "8, 17, false", "16, 17, false", "17, 17, true", "118, 17, true", "8, 8, true" })
+	void refusesOnlyInLargeFleets(int fleet, int refuseFrom, boolean refused) {
+		ForwardRig rig = new ForwardRig(new ForwardLimits(0.2, 100, 10_000, 20_000, 17, refuseFrom));
+		rig.handle(new ConfigurationApplied(ForwardRig.configuration(1)));
+		rig.handle(new InstancesChanged(List.of(ForwardRig.instance("e0", ForwardRig.ENGINES, 0, false))));
+		rig.handle(new PeerCountChanged(1, fleet));
+		rig.handle(new PeerLoadStarted("peer", load("e0", 60, 3_000)));
+		rig.submit("/ask/", 3_000, ForwardRig.KEY, 1);
+		assertThat(rig.all(RefuseRequest.class)).hasSize(refused ? 1 : 0);
+	}
+
 	private static List<LoadEntry> load(String instance, int count, long tokens) {
 		return IntStream.range(0, count)
 			.mapToObj((index) -> new LoadEntry("p" + instance + "-" + index, instance, tokens, 0,
