Name messages of peers by what they are

Cause: several names and comments of the new parts used figurative words, and one noted how its value had been chosen. Change: renames (PeerContacted, messageReceived, lastMessageNanos) and comments only.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
@@ -17,7 +17,7 @@
 
 	/**
 	 * How old the stored start of this daemon may be. Others forget a daemon that they do
-	 * not hear from 10 minutes after they have read its announcement.
+	 * not receive messages from 10 minutes after they have read its announcement.
 	 */
 	private static final long MAX_AGE_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -76,7 +76,7 @@
 	private final FleetCount fleetCount = new FleetCount();
 
 	/** The serving daemons whose first heartbeat was passed on, also if it was empty. */
-	private final Set<String> heardPeers = new HashSet<>();
+	private final Set<String> reportedPeers = new HashSet<>();
 
 	private PeerCountChanged publishedCount = new PeerCountChanged(1);
 
@@ -221,7 +221,7 @@
 		// The first empty heartbeat corrects load left over from lost datagrams, or
 		// reports a
 		// serving daemon without load; further ones carry no information.
-		boolean first = heartbeat.serving() && this.heardPeers.add(heartbeat.member().host());
+		boolean first = heartbeat.serving() && this.reportedPeers.add(heartbeat.member().host());
 		if (!empty || this.peersWithLoad.remove(heartbeat.member().host()) || first) {
 			this.decisions.offer(
 					new PeerHeartbeatReceived(heartbeat.member().host(), heartbeat.load(), heartbeat.crashes()),
@@ -234,7 +234,7 @@
 		for (String host : this.table.expire(nowNanos)) {
 			LOGGER.info("peer: daemon {} is unresponsive; callers no longer receive its address", host);
 			this.peersWithLoad.remove(host);
-			this.heardPeers.remove(host);
+			this.reportedPeers.remove(host);
 			this.decisions.offer(new PeerUnresponsive(host), Urgency.CONTROL);
 		}
 		boolean servedBefore = this.serving;
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
@@ -25,7 +25,7 @@
 	void receiveUpdate(String host, boolean readsForSelf, StreamUpdate update) {
 		find(update.stream()).ifPresent((follower) -> follower.receive(host, readsForSelf, update));
 		if (!this.peersKnown) {
-			find(KeyedStream.MEMBERS).ifPresent((follower) -> follower.peerHeard(host));
+			find(KeyedStream.MEMBERS).ifPresent((follower) -> follower.peerContacted(host));
 		}
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/PeerActivity.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/balance/PeerActivity.java
@@ -8,8 +8,8 @@
 import org.rattanhead.core.Millis;
 
 /**
- * When each daemon was last heard and how much work it places on each service. The state
- * is lost at a restart and complete again after one heartbeat of each daemon.
+ * When each daemon last sent a message, and how much work it places on each service. The
+ * state is lost at a restart and complete again after one heartbeat of each daemon.
  */
 public final class PeerActivity {
 
@@ -24,7 +24,7 @@
 
 	private final String self;
 
-	private final Map<String, Long> heardNanos = new HashMap<>();
+	private final Map<String, Long> lastMessageNanos = new HashMap<>();
 
 	/** The time between the last two messages of each daemon. */
 	private final Map<String, Long> gapNanos = new HashMap<>();
@@ -53,9 +53,9 @@
 	 * @param host its host
 	 * @param nowNanos the time on the monotonic clock
 	 */
-	public void heard(String host, long nowNanos) {
+	public void messageReceived(String host, long nowNanos) {
 		if (!isSelf(host)) {
-			Long before = this.heardNanos.put(host, nowNanos);
+			Long before = this.lastMessageNanos.put(host, nowNanos);
 			this.gapNanos.put(host, (before != null) ? nowNanos - before : 0);
 		}
 	}
@@ -87,7 +87,7 @@
 	 * @param host its host
 	 */
 	public void lost(String host) {
-		this.heardNanos.remove(host);
+		this.lastMessageNanos.remove(host);
 		this.gapNanos.remove(host);
 		this.ratesByService.values().forEach((rates) -> rates.remove(host));
 	}
@@ -104,32 +104,32 @@
 		this.ratesByService.getOrDefault(service, new TreeMap<>())
 			.forEach((host, rate) -> rates.put(host, rate.perMilli(nowNanos)));
 		double own = rates.getOrDefault(this.self, 0.0);
-		double heardRate = -own;
+		double knownRate = -own;
 		double weightedAge = 0;
 		for (Map.Entry<String, Double> rate : rates.entrySet()) {
-			heardRate += rate.getValue();
+			knownRate += rate.getValue();
 			weightedAge += isSelf(rate.getKey()) ? 0 : rate.getValue() * ageMillis(rate.getKey(), nowNanos);
 		}
-		int unheard = Math.max(0, daemons - 1 - this.heardNanos.size());
-		double unheardRate = unheard * heardRate / Math.max(1, this.heardNanos.size());
-		double othersRate = Math.max(0, heardRate + unheardRate);
-		double age = (othersRate > 0) ? (weightedAge + unheardRate * MAX_AGE_MILLIS) / othersRate : 0;
-		return sliced(age, othersRate, rates, unheard);
+		int missing = Math.max(0, daemons - 1 - this.lastMessageNanos.size());
+		double unknownRate = missing * knownRate / Math.max(1, this.lastMessageNanos.size());
+		double othersRate = Math.max(0, knownRate + unknownRate);
+		double age = (othersRate > 0) ? (weightedAge + unknownRate * MAX_AGE_MILLIS) / othersRate : 0;
+		return sliced(age, othersRate, rates, missing);
 	}
 
-	private ServiceActivity sliced(double age, double othersRate, Map<String, Double> rates, int unheard) {
+	private ServiceActivity sliced(double age, double othersRate, Map<String, Double> rates, int missing) {
 		double mean = rates.values().stream().mapToDouble(Double::doubleValue).average().orElse(0);
 		List<String> hosts = rates.keySet().stream().filter((host) -> rates.get(host) >= SLICE_RATE * mean).toList();
 		int position = hosts.indexOf(this.self);
-		if (unheard > 0 || position < 0) {
+		if (missing > 0 || position < 0) {
 			return new ServiceActivity(age, othersRate, 0, 0);
 		}
 		return new ServiceActivity(age, othersRate, position / (double) hosts.size(), 1.0 / hosts.size());
 	}
 
 	private double ageMillis(String host, long nowNanos) {
-		Long heard = this.heardNanos.get(host);
-		return (heard != null) ? Math.min(MAX_AGE_MILLIS, Math.max(0, nowNanos - heard) / (double) Millis.toNanos(1))
+		Long last = this.lastMessageNanos.get(host);
+		return (last != null) ? Math.min(MAX_AGE_MILLIS, Math.max(0, nowNanos - last) / (double) Millis.toNanos(1))
 				: MAX_AGE_MILLIS;
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -125,12 +125,12 @@
 			.on(PeerNoticeReceived.class, this.notices::receivedFromPeer)
 			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
 			.on(PeerLoadStarted.class,
-					(event, now) -> heard(event.host(), now,
+					(event, now) -> messageReceived(event.host(), now,
 							() -> event.entries().forEach((entry) -> fleet.place(event.host(), entry, now))))
 			.on(PeerLoadEnded.class,
-					(event, now) -> heard(event.host(), now,
+					(event, now) -> messageReceived(event.host(), now,
 							() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
-			.on(PeerHeartbeatReceived.class, (event, now) -> heard(event.host(), now, () -> {
+			.on(PeerHeartbeatReceived.class, (event, now) -> messageReceived(event.host(), now, () -> {
 				fleet.replace(event.host(), event.load(), now);
 				this.state.suspects().receive(event.crashes(), now);
 			}))
@@ -267,8 +267,8 @@
 		this.state.suspects().restore(event.stored(), nowNanos);
 	}
 
-	private List<ForwardCommand> heard(String host, long nowNanos, Runnable change) {
-		this.state.fleet().activity().heard(host, nowNanos);
+	private List<ForwardCommand> messageReceived(String host, long nowNanos, Runnable change) {
+		this.state.fleet().activity().messageReceived(host, nowNanos);
 		return changed(change);
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/FleetCount.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/FleetCount.java
@@ -21,7 +21,7 @@
 	 * Counts the daemons. Within a complete fleet the number does not shrink, since
 	 * announcements expire after a while and no message confirms them.
 	 * @param serving the daemons that serve, this one included if it does
-	 * @param alive the daemons that this one hears, itself included
+	 * @param alive the daemons that this one receives messages from, and itself
 	 * @param known all daemons that this one knows, itself included
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the number
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/room/CapacityEstimate.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/room/CapacityEstimate.java
@@ -28,9 +28,8 @@
 
 	/**
 	 * The factor by which requests that arrive later prolong the wait of one that engines
-	 * do not admit before them. At three times the capacity of simulated engines, they
-	 * completed 71% of their capacity with a factor of 1, 94% with 2.5 and all with 3.5;
-	 * the rest ran until the deadline.
+	 * do not admit before them. Smaller factors admit requests that reach their deadline
+	 * while they run, which costs capacity.
 	 */
 	public static final double FIRST_OVERTAKING = 3.5;
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/balance/PeerActivityTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/balance/PeerActivityTests.java
@@ -24,7 +24,7 @@
 		for (long millis = 0; millis < 10_000; millis += 100) {
 			activity.placed("a", "s", Millis.toNanos(millis));
 			for (int peer = 0; peer < heard; peer++) {
-				activity.heard("b" + peer, Millis.toNanos(millis));
+				activity.messageReceived("b" + peer, Millis.toNanos(millis));
 				activity.placed("b" + peer, "s", Millis.toNanos(millis));
 			}
 		}
@@ -40,7 +40,7 @@
 	void movesSliceWhenPeerIsLost(String name, boolean lost, double width) {
 		PeerActivity activity = new PeerActivity("b");
 		for (String host : new String[] { "a", "b", "c", "d" }) {
-			activity.heard(host, 0);
+			activity.messageReceived(host, 0);
 			activity.placed(host, "s", 0);
 		}
 		if (lost) {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceSimulation.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceSimulation.java
@@ -130,7 +130,7 @@
 			boolean due = (sender < this.serving) ? served || (assigned && count % 2 == 0)
 					: served && Math.floorMod(sender - receiver, this.serving) < 2 && count % 3 == 0;
 			if (receiver != sender && due) {
-				this.fleets.get(receiver).activity().heard(host(sender), nowNanos());
+				this.fleets.get(receiver).activity().messageReceived(host(sender), nowNanos());
 				this.fleets.get(receiver).replace(host(sender), entries, nowNanos());
 			}
 		}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -78,8 +78,8 @@
 	 * Tells the duty that another daemon sent an update of another stream.
 	 * @param host the host of that daemon
 	 */
-	public void peerHeard(String host) {
-		this.duty.offer(new PeerHeard(host), Urgency.STREAM);
+	public void peerContacted(String host) {
+		this.duty.offer(new PeerContacted(host), Urgency.STREAM);
 	}
 
 	@Override
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PeerHeard.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PeerContacted.java
@@ -5,5 +5,5 @@
  *
  * @param host the host of that daemon
  */
-record PeerHeard(String host) implements FollowEvent {
+record PeerContacted(String host) implements FollowEvent {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -95,7 +95,7 @@
 			.on(ReadFailed.class, (event, now) -> onReadFailed(event.failure(), now))
 			.on(UpdateReceived.class, (event, now) -> onUpdate(event, now))
 			.on(PeersKnown.class, (event, now) -> onPeersKnown(event.others(), now))
-			.on(PeerHeard.class, (event, now) -> onPeerHeard(event.host()))
+			.on(PeerContacted.class, (event, now) -> onPeerContacted(event.host()))
 			.on(RequestDue.class, (event, now) -> requestSnapshot())
 			.on(SnapshotRequested.class, (event, now) -> onSnapshotRequested(event.host(), now))
 			.on(SnapshotReceived.class, (event, now) -> onSnapshot(event.snapshot(), now))
@@ -184,7 +184,7 @@
 		return readIfDue(nowNanos);
 	}
 
-	private boolean onPeerHeard(String host) {
+	private boolean onPeerContacted(String host) {
 		if (this.readingNewest) {
 			this.peers.requestSnapshot(this.stream, host);
 		}
@@ -245,7 +245,7 @@
 
 	private boolean onUpdate(UpdateReceived event, long nowNanos) {
 		StreamUpdate update = event.update();
-		if (onPeerHeard(event.host())) {
+		if (onPeerContacted(event.host())) {
 			return false;
 		}
 		if (update.nextOffset() < this.nextOffset) {
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
@@ -109,7 +109,7 @@
 		run(() -> {
 			handle(update.stream(), new UpdateReceived(host, this.table.readsFor(host, this.serves), update));
 			if (!this.loaded.contains(KeyedStream.MEMBERS)) {
-				handle(KeyedStream.MEMBERS, new PeerHeard(host));
+				handle(KeyedStream.MEMBERS, new PeerContacted(host));
 			}
 		});
 	}
