Read the store at once after a restart

Cause: a gateway that started waited 150 to 750 ms for the records of others. Change: a gateway whose own announcement is recent reads at once. At a first start, before callers know it, it waits as before.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
@@ -33,7 +33,7 @@
 	 * Creates the announcement.
 	 * @param self this daemon
 	 * @param write writes the announcement to the store
-	 * @param onPeersKnown receives whether other daemons are announced
+	 * @param onPeersKnown receives whether to wait for the records of other daemons
 	 */
 	Announcement(Member self, Runnable write, Consumer<Boolean> onPeersKnown) {
 		this.self = self;
@@ -47,10 +47,16 @@
 		}
 		this.done = true;
 		List<Member> members = records.stream().flatMap((record) -> decode(record).stream()).toList();
-		if (members.stream().noneMatch(this::announcesSelf)) {
+		boolean announced = members.stream().anyMatch(this::announcesSelf);
+		if (!announced) {
 			this.write.run();
 		}
-		this.onPeersKnown.accept(members.stream().anyMatch((member) -> !member.host().equals(this.self.host())));
+		// Callers still use the address of a daemon that starts again, and it refuses
+		// them
+		// until it has read. If all daemons start again, none of them has records to
+		// send.
+		boolean others = members.stream().anyMatch((member) -> !member.host().equals(this.self.host()));
+		this.onPeersKnown.accept(others && !announced);
 	}
 
 	private boolean announcesSelf(Member stored) {
