--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/WorkKeys.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/WorkKeys.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -34,8 +35,13 @@
 		return Optional.ofNullable(this.instanceByKey.remove(key));
 	}
 
-	Set<String> of(String host) {
-		return Set.copyOf(this.keysByHost.getOrDefault(host, Set.of()));
+	/**
+	 * Lists the keys of the work of a daemon, in an order that is the same in each run.
+	 * @param host the daemon
+	 * @return a copy of the keys
+	 */
+	List<String> of(String host) {
+		return List.copyOf(this.keysByHost.getOrDefault(host, Set.of()));
 	}
 
 }
