Handle signals before an address is opened

Callers saw requests that were accepted at the start of a gateway end with a closed or reset connection when SIGTERM or SIGHUP came at that moment.

Cause: GatewayMain registered the shutdown hook and the handler of SIGHUP after the constructor of Gateway, whose front end listens long before it returns. In between, the virtual machine handled both signals and ended the process at once. The own path (DaemonMain.run) registered its hook in the same order.

Evidence: StartSignalTests connects as soon as the port is open, sends a request and the signal.

Change: both handlers are registered before the service is constructed. ServiceLifecycle drains a service whose start is in progress once it has started, and never starts one after a shutdown. SIGHUP is handled from the first line of main; one that comes before the settings have been read is carried out then (DeferredAction). On the own path, which reads no settings again, SIGHUP keeps its earlier meaning.

Result: both rows of StartSignalTests, ServiceLifecycleTests and GatewayProcessTests pass. What is left is the time until main runs, in which nothing listens.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -48,7 +48,7 @@
  * A daemon: its duties and the rings between them. Events that arrive before all duties
  * are wired wait in their ring.
  */
-public final class Daemon implements AutoCloseable {
+public final class Daemon implements DrainableService {
 
 	private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
 
@@ -135,6 +135,7 @@
 	 * use other addresses, refuses new work, and waits for running requests. Requests
 	 * that are left at the end of the wait get their final answer.
 	 */
+	@Override
 	public void drain() {
 		LOGGER.info("daemon: shutting down; new work is accepted for another {} ms", this.settings.drainDelayMillis());
 		this.status.startDraining();
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
@@ -1,12 +1,12 @@
 package org.rattanhead.daemon;
 
-import java.util.concurrent.CountDownLatch;
-
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
 import org.rattanhead.daemon.gateway.GatewayMain;
 import org.rattanhead.daemon.gateway.Rehearsal;
+import org.rattanhead.ring.DeferredAction;
+import org.rattanhead.ring.HangupSignal;
 import org.rattanhead.ring.ShutdownHook;
 import org.rattanhead.settings.IniFile;
 import org.rattanhead.settings.SettingsException;
@@ -29,6 +29,8 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
+		DeferredAction hangup = new DeferredAction();
+		Runnable restoreHangup = HangupSignal.register(hangup);
 		System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
 		DaemonOptions options = new DaemonOptions();
 		CmdLineParser parser = new CmdLineParser(options);
@@ -40,14 +42,10 @@
 			}
 			IniFile file = IniFile.read(options.settings());
 			if (GatewayMain.accepts(file)) {
-				if (options.rehearse()) {
-					Rehearsal.run(file);
-				}
-				else {
-					GatewayMain.run(options.settings(), file, options.check());
-				}
+				runGateway(options, file, hangup);
 				return;
 			}
+			restoreHangup.run();
 			DaemonSettings settings = DaemonSettingsFile.parse(file);
 			if (!options.check()) {
 				run(settings);
@@ -69,22 +67,22 @@
 		}
 	}
 
-	private static void run(DaemonSettings settings) {
-		LogSetup.apply(settings.logs());
-		CountDownLatch stopped = new CountDownLatch(1);
-		try (Daemon daemon = new Daemon(settings)) {
-			ShutdownHook.register(() -> {
-				daemon.drain();
-				daemon.close();
-				stopped.countDown();
-			});
-			stopped.await();
+	private static void runGateway(DaemonOptions options, IniFile file, DeferredAction hangup) {
+		if (options.rehearse()) {
+			Rehearsal.run(file);
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+		else {
+			GatewayMain.run(options.settings(), file, options.check(), hangup);
 		}
 	}
 
+	private static void run(DaemonSettings settings) {
+		ServiceLifecycle lifecycle = new ServiceLifecycle();
+		ShutdownHook.register(lifecycle::shutDown);
+		LogSetup.apply(settings.logs());
+		lifecycle.run(() -> new Daemon(settings));
+	}
+
 	private static void printUsage(CmdLineParser parser) {
 		System.err.println("rattanheadd --settings FILE");
 		parser.printUsage(System.err);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.rattanhead.client.HttpClient;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.daemon.DrainableService;
 import org.rattanhead.daemon.OwnedResources;
 import org.rattanhead.decision.forward.ForwardDecider;
 import org.rattanhead.decision.forward.ForwardDraining;
@@ -45,7 +46,7 @@
 /**
  * A daemon that forwards requests to the instances registered on the platform.
  */
-public final class Gateway implements AutoCloseable {
+public final class Gateway implements DrainableService {
 
 	private static final Logger LOGGER = LogManager.getLogger(Gateway.class);
 
@@ -161,7 +162,8 @@
 	 * callers use other addresses, then waits for the running requests. Requests that are
 	 * left at the end of the grace period get their final reply.
 	 */
-	void drain() {
+	@Override
+	public void drain() {
 		LOGGER.info("daemon: shutting down; requests are accepted for another {} ms", DRAIN_DELAY_MILLIS);
 		long endNanos = System.nanoTime()
 				+ TimeUnit.MILLISECONDS.toNanos(this.settings.graceMillis() - CLOSE_MARGIN_MILLIS);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMain.java
@@ -1,9 +1,9 @@
 package org.rattanhead.daemon.gateway;
 
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 
-import org.rattanhead.ring.HangupSignal;
+import org.rattanhead.daemon.ServiceLifecycle;
+import org.rattanhead.ring.DeferredAction;
 import org.rattanhead.ring.ShutdownHook;
 import org.rattanhead.settings.IniFile;
 
@@ -29,27 +29,22 @@
 	 * @param path the settings file, which is read again on SIGHUP
 	 * @param file the content of the settings file
 	 * @param checkOnly whether to return after the check
+	 * @param hangup the action on SIGHUP, which this method sets
 	 */
-	public static void run(Path path, IniFile file, boolean checkOnly) {
+	public static void run(Path path, IniFile file, boolean checkOnly, DeferredAction hangup) {
 		GatewaySettings settings = GatewaySettingsFile.parse(file);
 		if (checkOnly) {
 			return;
 		}
+		ServiceLifecycle lifecycle = new ServiceLifecycle();
+		// Before anything listens: a signal that the JVM handles cuts accepted requests.
+		ShutdownHook.register(() -> {
+			lifecycle.shutDown();
+			GatewayLogs.stop();
+		});
 		GatewayLogs.apply(settings.logLevel());
-		CountDownLatch stopped = new CountDownLatch(1);
-		try (Gateway gateway = new Gateway(settings)) {
-			ShutdownHook.register(() -> {
-				gateway.drain();
-				gateway.close();
-				GatewayLogs.stop();
-				stopped.countDown();
-			});
-			HangupSignal.register(new GatewayReload(path, settings));
-			stopped.await();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+		hangup.set(new GatewayReload(path, settings));
+		lifecycle.run(() -> new Gateway(settings));
 	}
 
 }
