Keep the thread of a duty after an error

Callers saw: requests that were accepted and never answered, all those of the process, while it was ready. Cause: Duty.process caught RuntimeException only. A StackOverflowError (the threads have 256 KB stacks) or an OutOfMemoryError while one event was handled ended the thread; the ring accepted events until it was full. Evidence, before the change: DutyTests.continuesAfterHandlerError fails in all 4 rows ("Tests run: 15, Failures: 4"), the event after the error is not handled within 5 s; "Exception in thread "test" java.lang.StackOverflowError". Change: errors are handled like exceptions, for that event only. Should the thread still end without close(), the process ends with status 70 and the platform starts it again, rather than accept what nobody handles. Result: DutyTests passes.

--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
@@ -13,7 +13,9 @@
 /**
  * A consumer thread with a bounded ring buffer. Any thread may offer events; the thread
  * of the duty handles them in the order of the ring and blocks while the ring is empty.
- * Offering never blocks: a full ring refuses the event.
+ * Offering never blocks: a full ring refuses the event. A failure of the handler, errors
+ * included, ends the handling of that event only. If the thread ends without
+ * {@link #close()}, so does the process, since nobody would handle what it accepts.
  *
  * @param <E> the type of the events
  */
@@ -23,6 +25,9 @@
 
 	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
+	/** The exit status of a process that lost the thread of a duty. */
+	private static final int THREAD_LOST_STATUS = 70;
+
 	private final String name;
 
 	private final RingBuffer<Slot<E>> ring;
@@ -33,6 +38,8 @@
 
 	private final AtomicLong refusedCount = new AtomicLong();
 
+	private volatile boolean stopping;
+
 	/**
 	 * Starts a duty.
 	 * @param name the name of the duty and of its thread
@@ -41,12 +48,24 @@
 	 * @param handler the handler of the events
 	 */
 	public Duty(String name, int capacity, LongSupplier clock, DutyHandler<E> handler) {
+		this(name, capacity, clock, handler, () -> Runtime.getRuntime().halt(THREAD_LOST_STATUS));
+	}
+
+	/**
+	 * Starts a duty.
+	 * @param name the name of the duty and of its thread
+	 * @param capacity the number of slots of the ring, a power of two
+	 * @param clock the monotonic clock, in nanoseconds
+	 * @param handler the handler of the events
+	 * @param onThreadLost runs if the thread ends without {@link #close()}
+	 */
+	Duty(String name, int capacity, LongSupplier clock, DutyHandler<E> handler, Runnable onThreadLost) {
 		this.name = name;
 		this.ring = RingBuffer.createMultiProducer(Slot::new, capacity, new BlockingWaitStrategy());
 		this.processor = new BatchEventProcessorBuilder().build(this.ring, this.ring.newBarrier(),
 				(slot, sequence, endOfBatch) -> process(slot, clock, handler));
 		this.ring.addGatingSequences(this.processor.getSequence());
-		this.thread = new Thread(this.processor, name);
+		this.thread = new Thread(() -> run(onThreadLost), name);
 		this.thread.setDaemon(true);
 		this.thread.start();
 	}
@@ -89,6 +108,7 @@
 	 */
 	@Override
 	public void close() {
+		this.stopping = true;
 		if (!this.ring.tryPublishEvent((slot, sequence) -> slot.markStop())) {
 			this.processor.halt();
 		}
@@ -100,6 +120,17 @@
 		}
 	}
 
+	private void run(Runnable onThreadLost) {
+		try {
+			this.processor.run();
+		}
+		finally {
+			if (!this.stopping) {
+				onThreadLost.run();
+			}
+		}
+	}
+
 	private boolean recordRefusal() {
 		this.refusedCount.incrementAndGet();
 		return false;
@@ -113,8 +144,17 @@
 		try {
 			handler.handle(slot.take(), clock.getAsLong());
 		}
-		catch (RuntimeException ex) {
-			LOGGER.error("ring: duty {} failed to handle an event; continuing with the next one", this.name, ex);
+		catch (RuntimeException | Error ex) {
+			logFailure(ex);
+		}
+	}
+
+	private void logFailure(Throwable failure) {
+		try {
+			LOGGER.error("ring: duty {} failed to handle an event; continuing with the next one", this.name, failure);
+		}
+		catch (RuntimeException | Error ex) {
+			// Without memory or stack for the log line, the thread still has to go on.
 		}
 	}
 
