Repeat periodic actions after an error

Callers saw: requests held past their deadline, and a daemon that stopped announcing itself. Cause: the Ticker caught RuntimeException only, and the executor cancels a periodic action that ends with an error. An OutOfMemoryError in one run ended the idle ticks and the heartbeats of a gateway for good. Evidence, before the change: TickerTests.repeatsActionAfterItsFailure fails for both errors (the action ran once, "the action ran again after its failure" is false after 5 s) and passes for the exception. Change: errors are logged like exceptions. Result: TickerTests passes.

--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Ticker.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Ticker.java
@@ -58,7 +58,8 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
+			// An error that leaves the action would cancel its later runs.
 			LOGGER.error("ring: scheduled action failed; a periodic action runs again after its delay", ex);
 		}
 	}
