Answer a request whose rule fails, and go on with the others

Callers saw: a request without any answer, and requests held past their timeout and deadline. Cause: an exception in ForwardDecider.decide left the duty's handler. A request whose admission failed was unknown to the decider and never answered. On a tick, the loop over all requests ended at the one that failed, again on each tick, so that no timeout or deadline of the requests behind it was enforced, no reservation renewed, and every reply decided before it in the same tick was dropped with the list of commands. Change: each rule is applied to one request inside RuleFaults.confine. A request whose rule fails, by an exception or an error, ends at once: 503 if it was never sent, 502 if it may have run, its connection closed if the reply had begun. Commands decided before are kept. The log says internal-error with the trace.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptProblems.java
@@ -39,6 +39,24 @@
 						RETRY_AFTER_MILLIS);
 	}
 
+	/**
+	 * Returns the problem of a request for which a rule of this daemon failed.
+	 * @param forwarding the request
+	 * @return the problem
+	 */
+	static Problem ruleFailed(Forwarding forwarding) {
+		return (forwarding.runs() > 0) ? ran(forwarding, "the daemon failed to handle its answer.") : ruleFailed();
+	}
+
+	/**
+	 * Returns the problem of a request for which a rule of this daemon failed before it
+	 * was sent.
+	 * @return the problem
+	 */
+	static Problem ruleFailed() {
+		return Problem.notRun(ProblemKind.NO_UPSTREAM, "The daemon failed to place the request.", RETRY_AFTER_MILLIS);
+	}
+
 	/**
 	 * Returns the problem of a request that no instance has run.
 	 * @param kind the kind of problem
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashRules.java
@@ -4,7 +4,6 @@
 
 import org.rattanhead.core.problem.Problem;
 import org.rattanhead.core.problem.ProblemKind;
-import org.rattanhead.decision.crash.CrashSuspects;
 import org.rattanhead.decision.crash.SuspectChange;
 
 /**
@@ -19,9 +18,12 @@
 
 	private final AttemptRules attempts;
 
-	CrashRules(ForwardState state, AttemptRules attempts) {
+	private final RuleFaults faults;
+
+	CrashRules(ForwardState state, AttemptRules attempts, RuleFaults faults) {
 		this.state = state;
 		this.attempts = attempts;
+		this.faults = faults;
 	}
 
 	/**
@@ -68,14 +70,18 @@
 	}
 
 	private void rejectRunning(long suspect, long nowNanos, List<ForwardCommand> commands) {
-		CrashSuspects suspects = this.state.suspects();
 		for (Forwarding forwarding : this.state.all()) {
-			// Running attempts of a suspect that instances answered before may clear it.
-			boolean harmful = forwarding.stage() == ForwardStage.HELD
-					|| (!forwarding.answerGoesOn() && !suspects.everAnswered(suspect));
-			if (harmful && forwarding.request().crashKeys().contains(suspect)) {
-				this.attempts.blocked(forwarding, problem(suspect), detail(suspect), nowNanos, commands);
-			}
+			this.faults.confine(forwarding, nowNanos, commands,
+					() -> rejectHarmful(forwarding, suspect, nowNanos, commands));
+		}
+	}
+
+	private void rejectHarmful(Forwarding forwarding, long suspect, long nowNanos, List<ForwardCommand> commands) {
+		// Running attempts of a suspect that instances answered before may clear it.
+		boolean harmful = forwarding.stage() == ForwardStage.HELD
+				|| (!forwarding.answerGoesOn() && !this.state.suspects().everAnswered(suspect));
+		if (harmful && forwarding.request().crashKeys().contains(suspect)) {
+			this.attempts.blocked(forwarding, problem(suspect), detail(suspect), nowNanos, commands);
 		}
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
@@ -35,6 +36,8 @@
 
 	private final AttemptRules attempts;
 
+	private final RuleFaults faults;
+
 	private final CrashRules crashes;
 
 	private final NoticeRules notices;
@@ -53,7 +56,8 @@
 		this.sharing = new FairSharing(this.state);
 		this.dispatcher = new Dispatcher(this.state, this.sharing);
 		this.attempts = new AttemptRules(this.state, this.dispatcher);
-		this.crashes = new CrashRules(this.state, this.attempts);
+		this.faults = new RuleFaults(this.state, this.dispatcher);
+		this.crashes = new CrashRules(this.state, this.attempts, this.faults);
 		this.notices = new NoticeRules(this.state);
 		registerRequests();
 		registerFleet();
@@ -68,7 +72,7 @@
 	 */
 	public List<ForwardCommand> decide(ForwardEvent event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
-		this.crashes.applyChanges(nowNanos, commands);
+		this.faults.confine(commands, () -> this.crashes.applyChanges(nowNanos, commands));
 		commands.removeIf((command) -> !this.notices.permits(command, nowNanos));
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
@@ -86,25 +90,24 @@
 
 	private void registerRequests() {
 		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), now))
-			.on(ForwardCallerDisconnected.class, (event, now) -> {
-				List<ForwardCommand> commands = new ArrayList<>();
-				this.state.find(event.request())
-					.ifPresent((forwarding) -> this.attempts.callerDisconnected(forwarding, now, commands));
-				return commands;
-			})
+			.on(ForwardCallerDisconnected.class,
+					(event, now) -> apply(this.state.find(event.request()), now,
+							(forwarding, commands) -> this.attempts.callerDisconnected(forwarding, now, commands)))
 			.on(AttemptAnswered.class,
-					(event, now) -> current(event.attempt(),
+					(event, now) -> current(event.attempt(), now,
 							(forwarding, commands) -> this.attempts.answered(forwarding, event.head(), now, commands)))
-			.on(AttemptContinued.class, (event, now) -> current(event.attempt(),
+			.on(AttemptContinued.class, (event, now) -> current(event.attempt(), now,
 					(forwarding, commands) -> this.attempts.continued(forwarding, event.bytes(), now, commands)))
 			.on(AttemptFinished.class,
-					(event, now) -> current(event.attempt(),
+					(event, now) -> current(event.attempt(), now,
 							(forwarding, commands) -> this.attempts.finished(forwarding, now, commands)))
 			.on(AttemptFailed.class,
-					(event, now) -> current(event.attempt(),
+					(event, now) -> current(event.attempt(), now,
 							(forwarding, commands) -> this.attempts.connectionFailed(forwarding, event.fault(),
 									event.detail(), now, commands)))
-			.on(ReplyWritten.class, (event, now) -> written(event))
+			.on(ReplyWritten.class,
+					(event, now) -> apply(this.state.find(event.request()), now,
+							(forwarding, commands) -> written(forwarding, event.bytes(), commands)))
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> {
@@ -152,7 +155,7 @@
 			Forwarding forwarding = this.admission.admit(request, nowNanos);
 			this.state.add(forwarding);
 			this.state.budget().request(forwarding.service().name(), nowNanos);
-			dispatch(forwarding, nowNanos, commands);
+			dispatchConfined(forwarding, nowNanos, commands);
 		}
 		catch (ProblemException ex) {
 			commands.add(new LogDecision("refused", request.id().value(), request.callerAttempt(), "",
@@ -160,9 +163,17 @@
 							this.state.routes().map((routes) -> routes.configuration().version()).orElse(0L)))));
 			commands.add(new RefuseRequest(request.id(), ex.problem()));
 		}
+		catch (RuntimeException | Error ex) {
+			commands.add(RuleFaults.log(request.id().value(), ex));
+			commands.add(new RefuseRequest(request.id(), AttemptProblems.ruleFailed()));
+		}
 		return commands;
 	}
 
+	private void dispatchConfined(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+		this.faults.confine(forwarding, nowNanos, commands, () -> dispatch(forwarding, nowNanos, commands));
+	}
+
 	private void dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		DispatchResult result = this.dispatcher.dispatch(forwarding, nowNanos, commands);
 		if (result.refused()) {
@@ -170,37 +181,41 @@
 		}
 	}
 
-	private List<ForwardCommand> current(AttemptId attempt, BiConsumer<Forwarding, List<ForwardCommand>> rule) {
-		List<ForwardCommand> commands = new ArrayList<>();
-		this.state.current(attempt).ifPresent((forwarding) -> rule.accept(forwarding, commands));
-		return commands;
+	private List<ForwardCommand> current(AttemptId attempt, long nowNanos,
+			BiConsumer<Forwarding, List<ForwardCommand>> rule) {
+		return apply(this.state.current(attempt), nowNanos, rule);
 	}
 
-	private List<ForwardCommand> written(ReplyWritten event) {
+	private List<ForwardCommand> apply(Optional<Forwarding> found, long nowNanos,
+			BiConsumer<Forwarding, List<ForwardCommand>> rule) {
 		List<ForwardCommand> commands = new ArrayList<>();
-		this.state.find(event.request()).ifPresent((forwarding) -> {
-			ReplyFlow flow = forwarding.relay().flow();
-			flow.written(event.bytes());
-			if (forwarding.stage() == ForwardStage.ANSWERING) {
-				flow.grant(forwarding.attempt(), commands);
-			}
-		});
+		found.ifPresent((forwarding) -> this.faults.confine(forwarding, nowNanos, commands,
+				() -> rule.accept(forwarding, commands)));
 		return commands;
 	}
 
+	private static void written(Forwarding forwarding, long bytes, List<ForwardCommand> commands) {
+		ReplyFlow flow = forwarding.relay().flow();
+		flow.written(bytes);
+		if (forwarding.stage() == ForwardStage.ANSWERING) {
+			flow.grant(forwarding.attempt(), commands);
+		}
+	}
+
 	private List<ForwardCommand> ticketReplied(TicketReplied event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
-		this.state.tickets().replied(event, nowNanos, commands);
-		this.state.current(event.ticket().attempt())
-			.filter((forwarding) -> forwarding.stage() == ForwardStage.RESERVING)
-			.ifPresent((forwarding) -> {
-				if (event.outcome() == TicketOutcome.REFUSED) {
-					this.attempts.reservationRefused(forwarding, event.ticket().instance(), nowNanos, commands);
-				}
-				else if (this.state.tickets().allGranted(event.ticket().attempt())) {
-					this.attempts.reserved(forwarding, nowNanos, commands);
-				}
-			});
+		this.faults.confine(commands, () -> this.state.tickets().replied(event, nowNanos, commands));
+		commands.addAll(current(event.ticket().attempt(), nowNanos, (forwarding, more) -> {
+			if (forwarding.stage() != ForwardStage.RESERVING) {
+				return;
+			}
+			if (event.outcome() == TicketOutcome.REFUSED) {
+				this.attempts.reservationRefused(forwarding, event.ticket().instance(), nowNanos, more);
+			}
+			else if (this.state.tickets().allGranted(event.ticket().attempt())) {
+				this.attempts.reserved(forwarding, nowNanos, more);
+			}
+		}));
 		return commands;
 	}
 
@@ -208,26 +223,31 @@
 		List<ForwardCommand> commands = new ArrayList<>();
 		List<Forwarding> held = new ArrayList<>();
 		for (Forwarding forwarding : this.state.all()) {
-			if (forwarding.remainingMillis(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
-				this.attempts.expired(forwarding, nowNanos, commands);
-			}
-			else if (forwarding.stage() == ForwardStage.HELD && forwarding.rank().active()) {
-				held.add(forwarding);
-			}
-			else if (forwarding.stage() == ForwardStage.HELD) {
-				dispatch(forwarding, nowNanos, commands);
-			}
-			else if (forwarding.overdue(nowNanos)) {
-				this.attempts.overdue(forwarding, nowNanos, commands);
-			}
+			this.faults.confine(forwarding, nowNanos, commands, () -> tick(forwarding, held, nowNanos, commands));
 		}
-		this.sharing.order(held).forEach((forwarding) -> dispatch(forwarding, nowNanos, commands));
-		this.state.fleet().expire(nowNanos);
-		this.state.tickets().tick(nowNanos, commands);
-		this.crashes.publish(nowNanos, commands);
+		this.faults.confine(commands, () -> this.sharing.order(held)
+			.forEach((forwarding) -> dispatchConfined(forwarding, nowNanos, commands)));
+		this.faults.confine(commands, () -> this.state.fleet().expire(nowNanos));
+		this.faults.confine(commands, () -> this.state.tickets().tick(nowNanos, commands));
+		this.faults.confine(commands, () -> this.crashes.publish(nowNanos, commands));
 		return commands;
 	}
 
+	private void tick(Forwarding forwarding, List<Forwarding> held, long nowNanos, List<ForwardCommand> commands) {
+		if (forwarding.remainingMillis(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
+			this.attempts.expired(forwarding, nowNanos, commands);
+		}
+		else if (forwarding.stage() == ForwardStage.HELD && forwarding.rank().active()) {
+			held.add(forwarding);
+		}
+		else if (forwarding.stage() == ForwardStage.HELD) {
+			dispatch(forwarding, nowNanos, commands);
+		}
+		else if (forwarding.overdue(nowNanos)) {
+			this.attempts.overdue(forwarding, nowNanos, commands);
+		}
+	}
+
 	private PublishHeartbeat heartbeat(long nowNanos) {
 		long version = this.state.routes().map((routes) -> routes.configuration().version()).orElse(0L);
 		List<LoadEntry> load = this.state.all().stream().flatMap((forwarding) -> forwarding.load().stream()).toList();
@@ -257,7 +277,9 @@
 		this.draining = true;
 		this.state.refuseNew();
 		List<ForwardCommand> commands = new ArrayList<>();
-		this.state.all().forEach((forwarding) -> this.attempts.graceEnded(forwarding, nowNanos, commands));
+		this.state.all()
+			.forEach((forwarding) -> this.faults.confine(forwarding, nowNanos, commands,
+					() -> this.attempts.graceEnded(forwarding, nowNanos, commands)));
 		return commands;
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
@@ -107,8 +107,8 @@
 			return false;
 		}
 		if (!this.started) {
-			this.started = true;
 			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), this.buffered.length()));
+			this.started = true;
 			commands.add(new ContinueReply(this.request, this.buffered.take(this.buffered.length())));
 		}
 		commands.add(new FinishReply(this.request));
@@ -117,8 +117,8 @@
 
 	private void send(Payload bytes, List<ForwardCommand> commands) {
 		if (!this.started) {
-			this.started = true;
 			commands.add(new BeginReply(this.request, this.head.status(), this.head.fields(), UNKNOWN_LENGTH));
+			this.started = true;
 		}
 		this.flow.sent(bytes.length());
 		commands.add(new ContinueReply(this.request, bytes));
