--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/NoticeLoad.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/NoticeLoad.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -16,6 +17,9 @@
 
 	private static final long PAUSE_MILLIS = 40;
 
+	/** A refusal that takes longer was held although it could not be served. */
+	private static final long PROMPT_REFUSAL_MILLIS = 500;
+
 	private final List<GatewayProcess> gateways;
 
 	private final int callersPerGateway;
@@ -24,6 +28,8 @@
 
 	private final AtomicLong served = new AtomicLong();
 
+	private final AtomicLong refused = new AtomicLong();
+
 	NoticeLoad(List<GatewayProcess> gateways, int callersPerGateway) {
 		this.gateways = gateways;
 		this.callersPerGateway = callersPerGateway;
@@ -37,10 +43,26 @@
 		return this.served.get() / (double) this.sent.get();
 	}
 
+	/**
+	 * Returns the requests that were refused at once, with a time to return.
+	 * @return the number
+	 */
+	long refused() {
+		return this.refused.get();
+	}
+
+	long failed() {
+		return this.sent.get() - this.served.get() - this.refused.get();
+	}
+
+	boolean accepts(int gateway) {
+		return isServed(call(gateway, "/look/a", "w"));
+	}
+
 	void awaitServed() throws InterruptedException {
 		for (int gateway = 0; gateway < this.gateways.size(); gateway++) {
 			int index = gateway;
-			GatewayRig.await(() -> call(index, "/look/a", "w"));
+			GatewayRig.await(() -> accepts(index));
 		}
 	}
 
@@ -62,9 +84,14 @@
 
 	private void callUntil(long endNanos, int gateway, String name) {
 		for (int call = 0; System.nanoTime() < endNanos; call++) {
-			boolean answered = call(gateway, PATHS.get(call % PATHS.size()), name + "-" + call);
-			this.sent.incrementAndGet();
-			this.served.addAndGet(answered ? 1 : 0);
+			long startNanos = System.nanoTime();
+			String answer = call(gateway, PATHS.get(call % PATHS.size()), name + "-" + call);
+			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+			if (!answer.isEmpty() || this.gateways.get(gateway).isAlive()) {
+				this.sent.incrementAndGet();
+			}
+			this.served.addAndGet(isServed(answer) ? 1 : 0);
+			this.refused.addAndGet((isRefused(answer) && elapsedMillis < PROMPT_REFUSAL_MILLIS) ? 1 : 0);
 			try {
 				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
 			}
@@ -75,14 +102,20 @@
 		}
 	}
 
-	private boolean call(int gateway, String path, String name) {
+	private static boolean isServed(String answer) {
+		return answer.startsWith("HTTP/1.1 200");
+	}
+
+	private static boolean isRefused(String answer) {
+		return answer.startsWith("HTTP/1.1 503") && answer.toLowerCase(Locale.ROOT).contains("\r\nretry-after: ");
+	}
+
+	private String call(int gateway, String path, String name) {
 		try (RawCaller caller = new RawCaller(this.gateways.get(gateway).callersAddress())) {
-			return caller.send(RawCaller.request("POST", path, "g" + gateway + "-" + name, "body"))
-				.answer()
-				.startsWith("HTTP/1.1 200");
+			return caller.send(RawCaller.request("POST", path, "g" + gateway + "-" + name, "body")).answer();
 		}
 		catch (IOException ex) {
-			return false;
+			return "";
 		}
 	}
 
