Answer what is read after the last check of a shutdown

Callers on kept connections saw the connection close without an answer at the end of a planned stop, although the gateway had read their request and written its refusal into the log.

Cause: Gateway.drain waited until no response was open, and closed the front end afterwards. A request that was read in between was registered and decided, but the connections were closed before its reply was written. A request whose body was still being read was not counted as open at all.

Evidence: ShutdownEndTests.answersEveryRequestThatIsRead uses 400 kept connections of a gateway process, one each millisecond around the end of the shutdown. Before the change, from 1,900 ms after SIGTERM on, it failed: of the requests that ended without an answer, one stands in the log of decisions ("to match given predicate but this element did"). With the check alone and no refusal, refusesRequestAfterLastCheck fails in all four rows with "SocketTimeoutException: Read timed out", and answersEveryRequestThatIsRead from 1,800 ms on.

Change: ForwardFrontEnd.finish takes the place of awaitWritten. From then on each request is refused on its I/O thread, in the same call that reads it, as not run and with Connection: close; then it waits for the responses that are open. A request is counted before it is checked whether it is refused, and the shutdown sets the flag before it reads the count, so a request is either refused at once or waited for.

Result: all six rows pass; ShutdownReplyTests, GatewayProcessTests, GatewayEndToEndTests, EndlessUploadTests and EndlessBodyTests pass.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -179,7 +179,7 @@
 				this.decisions.offer(new GraceEnded(), Urgency.CONTROL);
 				this.drained.await(FINAL_REPLIES_MILLIS, TimeUnit.MILLISECONDS);
 			}
-			boolean written = this.frontEnd.awaitWritten(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
+			boolean written = this.frontEnd.finish(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
 			LOGGER.info("daemon: stopped; {}",
 					written ? "every request has ended" : "some responses were not written to the end");
 		}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -188,7 +188,7 @@
 		}
 	}
 
-	private static InetSocketAddress freeAddress() throws IOException {
+	static InetSocketAddress freeAddress() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
 			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
 		}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -75,13 +75,14 @@
 	}
 
 	/**
-	 * Waits until all responses are written.
+	 * Refuses whatever is read from now on, and waits until all responses are written.
+	 * Afterwards the front end can be closed without cutting a request.
 	 * @param timeoutMillis the longest wait, in milliseconds
 	 * @return whether all are written
 	 * @throws InterruptedException if the wait is interrupted
 	 */
-	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.registry.exchanges().awaitWritten(timeoutMillis);
+	public boolean finish(long timeoutMillis) throws InterruptedException {
+		return this.registry.finish(timeoutMillis);
 	}
 
 	private static HttpHandler routeByPort(InetSocketAddress callerAddress, HttpHandler forwardHandler,
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -70,6 +70,9 @@
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
+		if (!this.registry.open(exchange)) {
+			return;
+		}
 		RequestId id = new RequestId(this.idPrefix + this.sequence.incrementAndGet());
 		if (hasUnsupportedFraming(exchange.getRequestHeaders())) {
 			refuseAndClose(exchange, id, Problem.notRun(ProblemKind.MALFORMED_REQUEST,
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -6,6 +6,8 @@
 
 import io.undertow.server.HttpServerExchange;
 
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.forward.AbortReply;
 import org.rattanhead.decision.forward.BeginReply;
@@ -25,6 +27,11 @@
  */
 public final class ForwardRegistry implements ForwardReplyWriter {
 
+	private static final long RETRY_AFTER_MILLIS = 300;
+
+	private static final Problem SHUTTING_DOWN = Problem.notRun(ProblemKind.SHUTTING_DOWN,
+			"The daemon is shutting down.", RETRY_AFTER_MILLIS);
+
 	private final ConcurrentMap<RequestId, ForwardStream> streams = new ConcurrentHashMap<>();
 
 	private final OpenExchanges exchanges = new OpenExchanges();
@@ -35,6 +42,8 @@
 
 	private volatile boolean closing;
 
+	private volatile boolean refusing;
+
 	/**
 	 * Creates a registry.
 	 * @param codec encodes refusals
@@ -54,8 +63,20 @@
 				this.exchanges.turns(exchange)));
 	}
 
-	boolean closing() {
-		return this.closing;
+	/**
+	 * Opens an exchange, which counts as open until its response is written. It must be
+	 * counted before it is checked whether it is refused, since a shutdown does both in
+	 * the reverse order.
+	 * @param exchange the exchange
+	 * @return whether the request may be forwarded; otherwise it is refused already
+	 */
+	boolean open(HttpServerExchange exchange) {
+		this.exchanges.openResponse(exchange);
+		if (this.refusing) {
+			RefusalSender.send(exchange, this.codec.refuse(SHUTTING_DOWN));
+			return false;
+		}
+		return true;
 	}
 
 	@Override
@@ -89,6 +110,18 @@
 		this.closing = true;
 	}
 
+	/**
+	 * Refuses whatever is read from now on at once, on its I/O thread, and waits until
+	 * all responses are written. Afterwards no request is open or will be.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean finish(long timeoutMillis) throws InterruptedException {
+		this.refusing = true;
+		return this.exchanges.awaitWritten(timeoutMillis);
+	}
+
 	/**
 	 * Returns what the exchanges of this front end share.
 	 * @return the exchanges
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
@@ -34,13 +34,13 @@
 	 */
 	void readBody(HttpServerExchange exchange, RequestBodyLimits limits, Consumer<Payload> onBody,
 			Consumer<Problem> onProblem) {
-		new RequestBodyReader(exchange, limits, turns(exchange), BodyReservation.open(this.bodies, exchange), onBody,
-				onProblem)
-			.start();
+		BodyReservation reservation = BodyReservation.open(this.bodies, exchange);
+		ConnectionCloseListener.of(exchange.getConnection()).onClose(openResponse(exchange));
+		new RequestBodyReader(exchange, limits, turns(exchange), reservation, onBody, onProblem).start();
 	}
 
 	/**
-	 * Counts the response of an exchange until it is written.
+	 * Counts an exchange until its response is written, from the first call on.
 	 * @param exchange the exchange
 	 * @return must be run when the connection closes
 	 */
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenResponses.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenResponses.java
@@ -4,21 +4,30 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
 
 /**
- * Counts the responses that are not yet written whole, so that a shutdown can wait for
- * them.
+ * Counts the requests whose response is not yet written whole, so that a shutdown can
+ * wait for them.
  */
 final class OpenResponses {
 
+	private static final AttachmentKey<Runnable> ATTACHMENT_KEY = AttachmentKey.create(Runnable.class);
+
 	private int count;
 
 	/**
-	 * Counts the response of an exchange until it is written.
+	 * Counts an exchange until its response is written or its connection closes. Has no
+	 * further effect if the exchange is counted already.
 	 * @param exchange the exchange
-	 * @return must be run when the connection closes
+	 * @return must be run when the connection closes, by whoever replaces the action of
+	 * {@link ConnectionCloseListener}
 	 */
 	Runnable open(HttpServerExchange exchange) {
+		Runnable known = exchange.getAttachment(ATTACHMENT_KEY);
+		if (known != null) {
+			return known;
+		}
 		synchronized (this) {
 			this.count++;
 		}
@@ -33,6 +42,8 @@
 			end.run();
 			next.proceed();
 		});
+		exchange.putAttachment(ATTACHMENT_KEY, end);
+		ConnectionCloseListener.of(exchange.getConnection()).onClose(end);
 		return end;
 	}
 
