Refuse uploads in progress at the end of a shutdown

Callers whose request body was still on its way when a gateway ended its shutdown saw the connection close without an answer, with most of the grace period left.

Cause: an upload in progress was neither counted as an open request nor refused; the front end was closed as soon as no decided request was left.

Evidence: ShutdownEndTests.refusesUploadInProgress.

Change: ForwardFrontEnd.finish gives up the bodies that have not arrived whole. Their requests could only be refused by then, so they are refused at once, as not run; the connection is closed after the answer.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/ShutdownEndTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/ShutdownEndTests.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.io.TempDir;
@@ -93,6 +94,29 @@
 		}
 	}
 
+	/**
+	 * Guards against uploads that are closed without an answer while the grace period
+	 * still lasts.
+	 */
+	@ParameterizedTest(name = "{0}, {1}: body completed: {2}")
+	@CsvSource({ "/look/a, Content-Length: 8, false", "/order/a, Content-Length: 8, true",
+			"/ask/a, Transfer-Encoding: chunked, false" })
+	void refusesUploadInProgress(String path, String framing, boolean completed) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "x"));
+				RawCaller caller = rig.caller()) {
+			CompletableFuture<Void> stopped = CompletableFuture.runAsync(rig.gateway::drain)
+				.thenRun(rig.gateway::close);
+			caller.send(RawCaller.request("POST", path, "a1", "", framing) + "4\r\na");
+			TimeUnit.MILLISECONDS.sleep(1_100);
+			if (completed) {
+				caller.send("body");
+			}
+			assertThat(caller.answer()).startsWith("HTTP/1.1 503").doesNotContain("<closed>");
+			stopped.get(2, TimeUnit.SECONDS);
+			assertThat(rig.receivedRequests()).isEmpty();
+		}
+	}
+
 	private static void sendUnlessClosed(RawCaller caller, String request) {
 		try {
 			caller.send(request);
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -75,8 +75,9 @@
 	}
 
 	/**
-	 * Refuses whatever is read from now on, and waits until all responses are written.
-	 * Afterwards the front end can be closed without cutting a request.
+	 * Refuses whatever is read from now on, with the requests whose body has not arrived
+	 * whole, and waits until all responses are written. Afterwards the front end can be
+	 * closed without cutting a request.
 	 * @param timeoutMillis the longest wait, in milliseconds
 	 * @return whether all are written
 	 * @throws InterruptedException if the wait is interrupted
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -111,14 +111,16 @@
 	}
 
 	/**
-	 * Refuses whatever is read from now on at once, on its I/O thread, and waits until
-	 * all responses are written. Afterwards no request is open or will be.
+	 * Refuses whatever is read from now on at once, on its I/O thread, and the requests
+	 * whose body has not arrived whole, and waits until all responses are written.
+	 * Afterwards no request is open or will be.
 	 * @param timeoutMillis the longest wait, in milliseconds
 	 * @return whether all are written
 	 * @throws InterruptedException if the wait is interrupted
 	 */
 	public boolean finish(long timeoutMillis) throws InterruptedException {
 		this.refusing = true;
+		this.exchanges.giveUpBodies(SHUTTING_DOWN);
 		return this.exchanges.awaitWritten(timeoutMillis);
 	}
 
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
@@ -13,7 +13,8 @@
 
 /**
  * What the exchanges of one front end share: turns on the I/O threads, the budget of
- * request bodies, and the count of responses that are not yet written whole.
+ * request bodies, those that have not arrived whole, and the count of responses that are
+ * not yet written whole.
  */
 public final class OpenExchanges {
 
@@ -22,6 +23,8 @@
 
 	private final BodyBudget bodies = BodyBudget.ofHeap();
 
+	private final BodiesInProgress bodiesInProgress = new BodiesInProgress();
+
 	private final OpenResponses responses = new OpenResponses();
 
 	/**
@@ -35,8 +38,28 @@
 	void readBody(HttpServerExchange exchange, RequestBodyLimits limits, Consumer<Payload> onBody,
 			Consumer<Problem> onProblem) {
 		BodyReservation reservation = BodyReservation.open(this.bodies, exchange);
-		ConnectionCloseListener.of(exchange.getConnection()).onClose(openResponse(exchange));
-		new RequestBodyReader(exchange, limits, turns(exchange), reservation, onBody, onProblem).start();
+		Runnable ended = openResponse(exchange);
+		ConnectionCloseListener.of(exchange.getConnection()).onClose(() -> {
+			this.bodiesInProgress.remove(exchange);
+			ended.run();
+		});
+		RequestBodyReader reader = new RequestBodyReader(exchange, limits, turns(exchange), reservation, (body) -> {
+			this.bodiesInProgress.remove(exchange);
+			onBody.accept(body);
+		}, (problem) -> {
+			this.bodiesInProgress.remove(exchange);
+			onProblem.accept(problem);
+		});
+		this.bodiesInProgress.add(exchange, reader);
+		reader.start();
+	}
+
+	/**
+	 * Gives up the bodies that have not arrived whole, also later ones.
+	 * @param problem the reason
+	 */
+	void giveUpBodies(Problem problem) {
+		this.bodiesInProgress.giveUpAll(problem);
 	}
 
 	/**
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
@@ -81,6 +81,15 @@
 		});
 	}
 
+	/**
+	 * Gives up a body that has not arrived whole. Runs on the I/O thread of the
+	 * connection.
+	 * @param problem the reason
+	 */
+	void giveUp(Problem problem) {
+		fail(problem);
+	}
+
 	private void read() {
 		try (PooledByteBuffer pooled = this.exchange.getConnection().getByteBufferPool().allocate()) {
 			readTurn(pooled.getBuffer());
