--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
@@ -13,7 +13,8 @@
 
 /**
  * What the exchanges of one front end share: turns on the I/O threads, the budget of
- * request bodies, and the count of responses that are not yet written whole.
+ * request bodies, those that have not arrived whole, and the count of responses that are
+ * not yet written whole.
  */
 public final class OpenExchanges {
 
@@ -22,6 +23,8 @@
 
 	private final BodyBudget bodies = BodyBudget.ofHeap();
 
+	private final BodiesInProgress bodiesInProgress = new BodiesInProgress();
+
 	private final OpenResponses responses = new OpenResponses();
 
 	/**
@@ -34,13 +37,33 @@
 	 */
 	void readBody(HttpServerExchange exchange, RequestBodyLimits limits, Consumer<Payload> onBody,
 			Consumer<Problem> onProblem) {
-		new RequestBodyReader(exchange, limits, turns(exchange), BodyReservation.open(this.bodies, exchange), onBody,
-				onProblem)
-			.start();
+		BodyReservation reservation = BodyReservation.open(this.bodies, exchange);
+		Runnable ended = openResponse(exchange);
+		ConnectionCloseListener.of(exchange.getConnection()).onClose(() -> {
+			this.bodiesInProgress.remove(exchange);
+			ended.run();
+		});
+		RequestBodyReader reader = new RequestBodyReader(exchange, limits, turns(exchange), reservation, (body) -> {
+			this.bodiesInProgress.remove(exchange);
+			onBody.accept(body);
+		}, (problem) -> {
+			this.bodiesInProgress.remove(exchange);
+			onProblem.accept(problem);
+		});
+		this.bodiesInProgress.add(exchange, reader);
+		reader.start();
+	}
+
+	/**
+	 * Gives up the bodies that have not arrived whole, also later ones.
+	 * @param problem the reason
+	 */
+	void giveUpBodies(Problem problem) {
+		this.bodiesInProgress.giveUpAll(problem);
 	}
 
 	/**
-	 * Counts the response of an exchange until it is written.
+	 * Counts an exchange until its response is written, from the first call on.
 	 * @param exchange the exchange
 	 * @return must be run when the connection closes
 	 */
