Execute the other commands after one that fails

Callers saw: a request that was answered in the decisions and never on its connection. Cause: GatewayRouter executed the commands of a decision in one loop. An exception in one, such as a log line or a metric, left the loop and dropped those behind it, replies included; the decider had forgotten the request by then. Change: each command is executed by itself. If a part of a reply fails, the reply is aborted, so that the parts behind it do not make it look complete.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -124,7 +124,7 @@
 		this.ticker = own(new Ticker("ticker"));
 		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
 		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> {
-			decider.decide(event, now).forEach((command) -> this.router.join().route(command, now));
+			this.router.join().route(decider.decide(event, now), now);
 			if (decider.busy()) {
 				scheduleTick();
 			}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -1,6 +1,12 @@
 package org.rattanhead.daemon.gateway;
 
+import java.util.List;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.rattanhead.core.HandlerTable;
+import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.forward.AbortAttempt;
 import org.rattanhead.decision.forward.AbortReply;
 import org.rattanhead.decision.forward.BeginReply;
@@ -28,16 +34,21 @@
 
 /**
  * Dispatches the commands of the forwarding decisions to the components that execute
- * them.
+ * them. A command that fails does not keep the others from being executed.
  */
 final class GatewayRouter {
 
+	private static final Logger LOGGER = LogManager.getLogger(GatewayRouter.class);
+
 	private final HandlerTable<ForwardCommand, Boolean> handlers = new HandlerTable<>();
 
+	private final ForwardReplyWriter replies;
+
 	private final DecisionLog log = new DecisionLog();
 
 	GatewayRouter(ForwardReplyWriter replies, ForwardCallDuty calls, MeshDuty mesh, GatewayMetrics metrics,
 			RecordWriter records, Runnable onDrained) {
+		this.replies = replies;
 		this.handlers.on(CallInstance.class, (command, now) -> done(() -> calls.call(command)))
 			.on(AbortAttempt.class, (command, now) -> done(() -> calls.abort(command)))
 			.on(GrantBytes.class, (command, now) -> done(() -> calls.grant(command)))
@@ -67,8 +78,31 @@
 			.covering(ForwardCommand.class);
 	}
 
-	void route(ForwardCommand command, long nowNanos) {
-		this.handlers.handle(command, nowNanos);
+	void route(List<ForwardCommand> commands, long nowNanos) {
+		commands.forEach((command) -> route(command, nowNanos));
+	}
+
+	private void route(ForwardCommand command, long nowNanos) {
+		try {
+			this.handlers.handle(command, nowNanos);
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.error("daemon: {} failed; the other commands are executed", command.getClass().getSimpleName(), ex);
+			abortIncompleteReply(command);
+		}
+	}
+
+	/**
+	 * Aborts the reply that a failed command leaves incomplete, so that what follows
+	 * cannot make it look complete.
+	 * @param failed the command
+	 */
+	private void abortIncompleteReply(ForwardCommand failed) {
+		RequestId request = (failed instanceof BeginReply begin) ? begin.request()
+				: (failed instanceof ContinueReply part) ? part.request() : null;
+		if (request != null) {
+			this.replies.abort(new AbortReply(request));
+		}
 	}
 
 	private static boolean done(Runnable action) {
