Never refuse completions of accepted work

Callers saw: an answer that was complete and came never, or as a 504 at the deadline. Cause: a full ring refused any event. Most producers ignored the result, so that the head or the end of an answer, the failure of an attempt, the disconnect of a caller or the end of the grace period was gone. Change: Urgency.COMPLETION for events that come once. They are never refused: without a free slot they wait beside the ring, as many as the accepted work, and are handled after all events that were in the ring before. While some wait, other events are refused, so that no part of an answer passes its head. The duty has its own loop over the slots, since the processor of the library releases slots after a batch, when it may fall asleep without looking at what waits.

--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
@@ -1,10 +1,9 @@
 package org.rattanhead.ring;
 
+import java.lang.invoke.VarHandle;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
-import com.lmax.disruptor.BatchEventProcessor;
-import com.lmax.disruptor.BatchEventProcessorBuilder;
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.RingBuffer;
 import org.apache.logging.log4j.LogManager;
@@ -13,9 +12,10 @@
 /**
  * A consumer thread with a bounded ring buffer. Any thread may offer events; the thread
  * of the duty handles them in the order of the ring and blocks while the ring is empty.
- * Offering never blocks: a full ring refuses the event. A failure of the handler, errors
- * included, ends the handling of that event only. If the thread ends without
- * {@link #close()}, so does the process, since nobody would handle what it accepts.
+ * Offering never blocks: a full ring refuses the event, except completions, which then
+ * wait beside the ring. A failure of the handler, errors included, ends the handling of
+ * that event only. If the thread ends without {@link #close()}, so does the process,
+ * since nobody would handle what it accepts.
  *
  * @param <E> the type of the events
  */
@@ -32,7 +32,9 @@
 
 	private final RingBuffer<Slot<E>> ring;
 
-	private final BatchEventProcessor<Slot<E>> processor;
+	private final Overflow<E> overflow = new Overflow<>();
+
+	private final SlotConsumer<E> consumer;
 
 	private final Thread thread;
 
@@ -62,9 +64,8 @@
 	Duty(String name, int capacity, LongSupplier clock, DutyHandler<E> handler, Runnable onThreadLost) {
 		this.name = name;
 		this.ring = RingBuffer.createMultiProducer(Slot::new, capacity, new BlockingWaitStrategy());
-		this.processor = new BatchEventProcessorBuilder().build(this.ring, this.ring.newBarrier(),
-				(slot, sequence, endOfBatch) -> process(slot, clock, handler));
-		this.ring.addGatingSequences(this.processor.getSequence());
+		this.consumer = new SlotConsumer<>(this.ring, this.overflow, (event) -> handle(event, clock, handler));
+		this.ring.addGatingSequences(this.consumer.handled());
 		this.thread = new Thread(() -> run(onThreadLost), name);
 		this.thread.setDaemon(true);
 		this.thread.start();
@@ -72,14 +73,19 @@
 
 	@Override
 	public boolean offer(E event, Urgency urgency) {
-		if (this.ring.remainingCapacity() <= urgency.reservedSlots(this.ring.getBufferSize())) {
+		if (urgency == Urgency.COMPLETION) {
+			complete(event);
+			return true;
+		}
+		if (!this.overflow.isEmpty()
+				|| this.ring.remainingCapacity() <= urgency.reservedSlots(this.ring.getBufferSize())) {
 			return recordRefusal();
 		}
 		return this.ring.tryPublishEvent((slot, sequence) -> slot.set(event)) || recordRefusal();
 	}
 
 	/**
-	 * Returns the number of events in the ring, including the batch being handled.
+	 * Returns the number of events in the ring, including the one being handled.
 	 * @return the number of events
 	 */
 	public long backlog() {
@@ -110,7 +116,7 @@
 	public void close() {
 		this.stopping = true;
 		if (!this.ring.tryPublishEvent((slot, sequence) -> slot.markStop())) {
-			this.processor.halt();
+			this.consumer.halt();
 		}
 		try {
 			this.thread.join(CLOSE_TIMEOUT_MILLIS);
@@ -120,9 +126,22 @@
 		}
 	}
 
+	private void complete(E event) {
+		if (!this.overflow.isEmpty() || !this.ring.tryPublishEvent((slot, sequence) -> slot.set(event))) {
+			this.overflow.add(event, this.ring.getCursor());
+			VarHandle.fullFence();
+			// An empty slot wakes a thread that has emptied the ring meanwhile. If there
+			// is no room for it, the thread has slots to handle and looks after each.
+			this.ring.tryPublishEvent((slot, sequence) -> slot.set(null));
+		}
+	}
+
 	private void run(Runnable onThreadLost) {
 		try {
-			this.processor.run();
+			this.consumer.run();
+		}
+		catch (InterruptedException ex) {
+			LOGGER.error("ring: the thread of duty {} was interrupted", this.name);
 		}
 		finally {
 			if (!this.stopping) {
@@ -136,13 +155,9 @@
 		return false;
 	}
 
-	private void process(Slot<E> slot, LongSupplier clock, DutyHandler<E> handler) {
-		if (slot.isStopMarker()) {
-			this.processor.halt();
-			return;
-		}
+	private void handle(E event, LongSupplier clock, DutyHandler<E> handler) {
 		try {
-			handler.handle(slot.take(), clock.getAsLong());
+			handler.handle(event, clock.getAsLong());
 		}
 		catch (RuntimeException | Error ex) {
 			logFailure(ex);
--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Urgency.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Urgency.java
@@ -12,8 +12,15 @@
 	/** A part of a response, whose source can be paused; it leaves a quarter free. */
 	STREAM(4),
 
-	/** A completion or a change of state; it may use every slot. */
-	CONTROL(0);
+	/** A change of state, which is repeated or corrected later; it may use every slot. */
+	CONTROL(0),
+
+	/**
+	 * A step of work already accepted that comes once. It is never refused: without a
+	 * free slot it waits beside the ring. The work accepted bounds the number of these
+	 * events.
+	 */
+	COMPLETION(0);
 
 	private final int reservedDivisor;
 
