Offer the outcome of calls and disconnects as completions

Callers saw: an answer that an instance had sent whole and that never came, or came as a 504 at the deadline; the head of an earlier attempt over the body of the next one was possible. Cause: ForwardObserver, ForwardCallDuty and ForwardRegistry ignored that a full ring refused the head, the end and the failure of an answer, the reply to a reservation, and the disconnect of a caller. A head that was lost while the first part of its body was delivered again after 2 ms left the decisions with a body without a head. Evidence, before the change: FullDecisionsTests fails in 6 of 6 rows, e.g. expected "AttemptAnswered AttemptContinued AttemptFinished" but was "AttemptContinued AttemptFinished"; expected "AttemptFailed" but was "". Change: these events have the urgency COMPLETION, which is never refused. Result: FullDecisionsTests and FullRingTests pass.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -99,7 +99,7 @@
 
 	private void callerDisconnected(RequestId request) {
 		if (remove(request).isPresent()) {
-			this.decisions.offer(new ForwardCallerDisconnected(request), Urgency.CONTROL);
+			this.decisions.offer(new ForwardCallerDisconnected(request), Urgency.COMPLETION);
 		}
 	}
 
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -88,7 +88,7 @@
 			LOGGER.warn("upstream: ring has no room, instance {} not called; the request is reported as not sent",
 					command.call().instance().id());
 			this.decisions.offer(new AttemptFailed(command.call().attempt(), AttemptFault.NOT_SENT,
-					"the daemon is too busy to call the instance"), Urgency.CONTROL);
+					"the daemon is too busy to call the instance"), Urgency.COMPLETION);
 		}
 	}
 
@@ -162,7 +162,7 @@
 			if (reply != null) {
 				offerNotice(task.ticket().instance(), reply.head());
 			}
-			this.decisions.offer(new TicketReplied(task.ticket(), outcome), Urgency.CONTROL);
+			this.decisions.offer(new TicketReplied(task.ticket(), outcome), Urgency.COMPLETION);
 		});
 		return true;
 	}
@@ -170,7 +170,7 @@
 	private void offerNotice(String instance, HttpHead head) {
 		ServerNotice notice = this.codec.notice(head);
 		if (!notice.equals(ServerNotice.NONE)) {
-			this.decisions.offer(new InstanceNoticed(instance, OptionalLong.empty(), notice), Urgency.CONTROL);
+			this.decisions.offer(new InstanceNoticed(instance, OptionalLong.empty(), notice), Urgency.COMPLETION);
 		}
 	}
 
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
@@ -45,10 +45,10 @@
 		ServerNotice notice = this.codec.notice(head);
 		if (!notice.equals(ServerNotice.NONE)) {
 			this.decisions.offer(new InstanceNoticed(this.call.instance().id(),
-					OptionalLong.of(this.call.instance().incarnation()), notice), Urgency.CONTROL);
+					OptionalLong.of(this.call.instance().incarnation()), notice), Urgency.COMPLETION);
 		}
 		this.decisions.offer(new AttemptAnswered(this.call.attempt(), this.codec.decode(head, this.call)),
-				Urgency.CONTROL);
+				Urgency.COMPLETION);
 	}
 
 	@Override
@@ -64,14 +64,14 @@
 	@Override
 	public void onEnd() {
 		this.onEnded.run();
-		this.decisions.offer(new AttemptFinished(this.call.attempt()), Urgency.CONTROL);
+		this.decisions.offer(new AttemptFinished(this.call.attempt()), Urgency.COMPLETION);
 	}
 
 	@Override
 	public void onFailure(CallFailure failure, String detail) {
 		this.onEnded.run();
 		if (failure != CallFailure.ABORTED) {
-			this.decisions.offer(new AttemptFailed(this.call.attempt(), fault(failure), detail), Urgency.CONTROL);
+			this.decisions.offer(new AttemptFailed(this.call.attempt(), fault(failure), detail), Urgency.COMPLETION);
 		}
 	}
 
