Tick on a crowded ring, and after a failed event

Callers saw: requests held past their timeout while a gateway passed on many streams. Cause: a tick was offered with the urgency of parts of answers, which keep the ring at three quarters of its slots while the decisions are behind, and was dropped then; no deadline was enforced and nothing held was sent until one got through. After a failed event no tick was scheduled, so that the next one came up to 500 ms later. Evidence, with the tick offered as before: TickScheduleTests fails in 5 of 5 rows ("[the tick was handled] Expecting value to be true but was false"; ten ticks due while the duty handles nothing leave ten in the ring). Ruled out: that deadlines stop for good. The flag was reset before the offer, and the idle ticks come every 500 ms. Change: TickSchedule keeps at most one tick in the ring, which is never refused, and schedules the next one after each event. Result: TickScheduleTests passes.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 
 import org.apache.logging.log4j.LogManager;
@@ -23,7 +22,6 @@
 import org.rattanhead.decision.forward.ForwardDecider;
 import org.rattanhead.decision.forward.ForwardDraining;
 import org.rattanhead.decision.forward.ForwardEvent;
-import org.rattanhead.decision.forward.ForwardTick;
 import org.rattanhead.decision.forward.GraceEnded;
 import org.rattanhead.decision.forward.HeartbeatDue;
 import org.rattanhead.decision.forward.ShutdownStarted;
@@ -51,9 +49,6 @@
 
 	private static final int RING_SLOTS = 8_192;
 
-	/** The period of ticks while requests are in progress. */
-	private static final long TICK_MILLIS = 20;
-
 	/** The period of the ticks that also run while idle, to expire old state. */
 	private static final long IDLE_TICK_MILLIS = 500;
 
@@ -100,7 +95,7 @@
 
 	private final CountDownLatch drained = new CountDownLatch(1);
 
-	private final AtomicBoolean tickDue = new AtomicBoolean();
+	private final TickSchedule ticks;
 
 	private final Duty<ForwardEvent> decisions;
 
@@ -123,12 +118,9 @@
 		this.status = new GatewayStatus(this.self);
 		this.ticker = own(new Ticker("ticker"));
 		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
-		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> {
-			this.router.join().route(decider.decide(event, now), now);
-			if (decider.busy()) {
-				scheduleTick();
-			}
-		}));
+		this.decisions = own(
+				new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> handle(decider, event, now)));
+		this.ticks = new TickSchedule(this.ticker::after, this.decisions);
 		this.caller = own(new HttpClient("calls", 1));
 		this.storeCaller = own(new HttpClient("store", 1));
 		FollowPlans plans = new FollowPlans();
@@ -142,7 +134,7 @@
 		RecordWriter records = new RecordWriter(store, this.ticker::after);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
 				this.drained::countDown));
-		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
+		this.ticker.every(IDLE_TICK_MILLIS, this.ticks::offerTick);
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
 		MeshStreams peers = new MeshStreams(mesh);
 		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream,
@@ -198,12 +190,12 @@
 		return this.caller.openCalls();
 	}
 
-	private void scheduleTick() {
-		if (this.tickDue.compareAndSet(false, true)) {
-			this.ticker.after(TICK_MILLIS, () -> {
-				this.tickDue.set(false);
-				this.decisions.offer(new ForwardTick(), Urgency.STREAM);
-			});
+	private void handle(ForwardDecider decider, ForwardEvent event, long nowNanos) {
+		try {
+			this.router.join().route(decider.decide(event, nowNanos), nowNanos);
+		}
+		finally {
+			this.ticks.handled(event, decider.busy());
 		}
 	}
 
