Never refuse changes that come only once

Callers saw: possible with a full ring: requests by an old configuration or to servers that are gone, and requests closed without a reply at the end of the grace period. Cause: a full ring refused configurations, evacuations, lists of instances, the loss of a peer, and the steps of a shutdown. None of them is offered again; a list of instances counts as published. Change: they have the urgency COMPLETION. Reads of the store and shutdowns bound their number.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -144,7 +144,7 @@
 		Announcement announcement = new Announcement(this.self,
 				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
 		follow.accept(KeyedStream.MEMBERS, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
-				(changes) -> this.decisions.offer(changes, Urgency.CONTROL), announcement::onNewest, this.status));
+				(changes) -> this.decisions.offer(changes, Urgency.COMPLETION), announcement::onNewest, this.status));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -159,14 +159,14 @@
 				+ TimeUnit.MILLISECONDS.toNanos(this.settings.graceMillis() - CLOSE_MARGIN_MILLIS);
 		this.status.startDraining();
 		this.frontEnd.replies().closeAfterAnswers();
-		this.decisions.offer(new ShutdownStarted(endNanos), Urgency.CONTROL);
+		this.decisions.offer(new ShutdownStarted(endNanos), Urgency.COMPLETION);
 		this.decisions.offer(new HeartbeatDue(), Urgency.CONTROL);
 		try {
 			TimeUnit.MILLISECONDS.sleep(Math.min(DRAIN_DELAY_MILLIS, this.settings.graceMillis() / 2));
-			this.decisions.offer(new ForwardDraining(true), Urgency.CONTROL);
+			this.decisions.offer(new ForwardDraining(true), Urgency.COMPLETION);
 			if (!this.drained.await(millisUntil(endNanos), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: requests still run at the end of the grace period; they get their final reply");
-				this.decisions.offer(new GraceEnded(), Urgency.CONTROL);
+				this.decisions.offer(new GraceEnded(), Urgency.COMPLETION);
 				this.drained.await(FINAL_REPLIES_MILLIS, TimeUnit.MILLISECONDS);
 			}
 			boolean written = this.frontEnd.awaitWritten(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceRecordListener.java
@@ -96,7 +96,7 @@
 			this.published = instances;
 			LOGGER.info("platform: {} instances are registered, {} of them leaving", instances.size(),
 					instances.stream().filter(UpstreamInstance::draining).count());
-			this.decisions.offer(new InstancesChanged(instances), Urgency.CONTROL);
+			this.decisions.offer(new InstancesChanged(instances), Urgency.COMPLETION);
 		}
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -235,7 +235,7 @@
 			LOGGER.info("peer: daemon {} is unresponsive; callers no longer receive its address", host);
 			this.peersWithLoad.remove(host);
 			this.reportedPeers.remove(host);
-			this.decisions.offer(new PeerUnresponsive(host), Urgency.CONTROL);
+			this.decisions.offer(new PeerUnresponsive(host), Urgency.COMPLETION);
 		}
 		boolean servedBefore = this.serving;
 		this.serving = this.table.updateServing(this.servingDecider, nowNanos);
@@ -276,7 +276,7 @@
 			this.publishedCount = count;
 			LOGGER.info("peer: {} daemons share limits, {} daemons are alive, {} in the fleet", count.daemons(), alive,
 					fleet);
-			this.decisions.offer(count, Urgency.CONTROL);
+			this.decisions.offer(count, Urgency.COMPLETION);
 		}
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
@@ -73,7 +73,7 @@
 	private void applyConfiguration(KeyedRecord record) {
 		try {
 			Configuration configuration = ConfigurationDecoder.decode(record.value().orElseThrow());
-			this.decisions.offer(new ConfigurationApplied(configuration), Urgency.CONTROL);
+			this.decisions.offer(new ConfigurationApplied(configuration), Urgency.COMPLETION);
 			this.status.markConfigured();
 		}
 		catch (RemedyException ex) {
@@ -83,7 +83,7 @@
 
 	private void publishEvacuated() {
 		LOGGER.info("platform: failure domains taken out: {}", this.evacuated);
-		this.decisions.offer(new DomainsEvacuated(Set.copyOf(this.evacuated)), Urgency.CONTROL);
+		this.decisions.offer(new DomainsEvacuated(Set.copyOf(this.evacuated)), Urgency.COMPLETION);
 	}
 
 }
