--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 
 import org.apache.logging.log4j.LogManager;
@@ -24,7 +23,6 @@
 import org.rattanhead.decision.forward.ForwardDecider;
 import org.rattanhead.decision.forward.ForwardDraining;
 import org.rattanhead.decision.forward.ForwardEvent;
-import org.rattanhead.decision.forward.ForwardTick;
 import org.rattanhead.decision.forward.GraceEnded;
 import org.rattanhead.decision.forward.HeartbeatDue;
 import org.rattanhead.decision.forward.ShutdownStarted;
@@ -52,9 +50,6 @@
 
 	private static final int RING_SLOTS = 8_192;
 
-	/** The period of ticks while requests are in progress. */
-	private static final long TICK_MILLIS = 20;
-
 	/** The period of the ticks that also run while idle, to expire old state. */
 	private static final long IDLE_TICK_MILLIS = 500;
 
@@ -101,7 +96,7 @@
 
 	private final CountDownLatch drained = new CountDownLatch(1);
 
-	private final AtomicBoolean tickDue = new AtomicBoolean();
+	private final TickSchedule ticks;
 
 	private final Duty<ForwardEvent> decisions;
 
@@ -124,12 +119,9 @@
 		this.status = new GatewayStatus(this.self);
 		this.ticker = own(new Ticker("ticker"));
 		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
-		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> {
-			decider.decide(event, now).forEach((command) -> this.router.join().route(command, now));
-			if (decider.busy()) {
-				scheduleTick();
-			}
-		}));
+		this.decisions = own(
+				new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> handle(decider, event, now)));
+		this.ticks = new TickSchedule(this.ticker::after, this.decisions);
 		this.caller = own(new HttpClient("calls", 1));
 		this.storeCaller = own(new HttpClient("store", 1));
 		FollowPlans plans = new FollowPlans();
@@ -143,7 +135,7 @@
 		RecordWriter records = new RecordWriter(store, this.ticker::after);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
 				this.drained::countDown));
-		this.ticker.every(IDLE_TICK_MILLIS, () -> this.decisions.offer(new ForwardTick(), Urgency.STREAM));
+		this.ticker.every(IDLE_TICK_MILLIS, this.ticks::offerTick);
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
 		MeshStreams peers = new MeshStreams(mesh);
 		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream,
@@ -153,7 +145,7 @@
 		Announcement announcement = new Announcement(this.self,
 				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
 		follow.accept(KeyedStream.MEMBERS, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
-				(changes) -> this.decisions.offer(changes, Urgency.CONTROL), announcement::onNewest, this.status));
+				(changes) -> this.decisions.offer(changes, Urgency.COMPLETION), announcement::onNewest, this.status));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
@@ -169,14 +161,14 @@
 				+ TimeUnit.MILLISECONDS.toNanos(this.settings.graceMillis() - CLOSE_MARGIN_MILLIS);
 		this.status.startDraining();
 		this.frontEnd.replies().closeAfterAnswers();
-		this.decisions.offer(new ShutdownStarted(endNanos), Urgency.CONTROL);
+		this.decisions.offer(new ShutdownStarted(endNanos), Urgency.COMPLETION);
 		this.decisions.offer(new HeartbeatDue(), Urgency.CONTROL);
 		try {
 			TimeUnit.MILLISECONDS.sleep(Math.min(DRAIN_DELAY_MILLIS, this.settings.graceMillis() / 2));
-			this.decisions.offer(new ForwardDraining(true), Urgency.CONTROL);
+			this.decisions.offer(new ForwardDraining(true), Urgency.COMPLETION);
 			if (!this.drained.await(millisUntil(endNanos), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: requests still run at the end of the grace period; they get their final reply");
-				this.decisions.offer(new GraceEnded(), Urgency.CONTROL);
+				this.decisions.offer(new GraceEnded(), Urgency.COMPLETION);
 				this.drained.await(FINAL_REPLIES_MILLIS, TimeUnit.MILLISECONDS);
 			}
 			boolean written = this.frontEnd.finish(millisUntil(endNanos) + FINAL_REPLIES_MILLIS);
@@ -200,12 +192,12 @@
 		return this.caller.openCalls();
 	}
 
-	private void scheduleTick() {
-		if (this.tickDue.compareAndSet(false, true)) {
-			this.ticker.after(TICK_MILLIS, () -> {
-				this.tickDue.set(false);
-				this.decisions.offer(new ForwardTick(), Urgency.STREAM);
-			});
+	private void handle(ForwardDecider decider, ForwardEvent event, long nowNanos) {
+		try {
+			this.router.join().route(decider.decide(event, nowNanos), nowNanos);
+		}
+		finally {
+			this.ticks.handled(event, decider.busy());
 		}
 	}
 
