Report the end of a call that has no timers yet

Callers saw: possible after a pause of the process: a request that is answered only at its deadline. Cause: a call that ends before armTimeouts has stored its timers (a timer that fires at once after a pause, a close of the client) met a null field in Exchange.cleanUp; the state was ENDED by then, and the observer was never told. Evidence, before the change: ExchangeRaceTests fails in 3 of 3 rows with a NullPointerException. The race itself was not provoked with real timers. Change: timers that are not set are not removed; they find the call ended. Result: ExchangeRaceTests passes.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -207,7 +207,10 @@
 	}
 
 	private void cleanUp() {
-		this.timeout.remove();
+		// A call may end before its timers are set; they then find it ended.
+		if (this.timeout != null) {
+			this.timeout.remove();
+		}
 		if (this.connectTimeout != null) {
 			this.connectTimeout.remove();
 		}
