Report a call that fails by an exception in this process

Callers saw: a request that waited for its deadline although its attempt had ended. Cause: an exception in a step of a call was only logged, by the duty that starts calls (a request that cannot be encoded) or by the I/O thread (a request that cannot be sent, a head that cannot be decoded). No outcome reached the decisions; a request that may not be repeated has no shorter timeout than its deadline. Evidence, before the change: CallFaultTests fails in 4 of 4 rows ("Expecting actual not to be null" after 3 s; log "UT005001: An exception occurred processing the request"). Change: a call whose request cannot be encoded or started is reported as not sent, so that it may be sent elsewhere; any other step that fails breaks the call. Result: CallFaultTests, FullRingTests and FullDecisionsTests pass.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
@@ -93,9 +93,15 @@
 	public OngoingCall start(HttpCall call, ReplyObserver observer, ConnectPolicy policy) {
 		Exchange exchange = new Exchange(call, observer, this.pool, this.buffers, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
-		exchange.armTimeouts(this.worker.getIoThread(), policy.connectMillis());
-		Optional<ServerConnection> pooled = policy.fresh() ? Optional.empty() : this.pool.acquire(call.address());
-		pooled.ifPresentOrElse(exchange::run, () -> connect(call.address(), exchange));
+		try {
+			exchange.armTimeouts(this.worker.getIoThread(), policy.connectMillis());
+			Optional<ServerConnection> pooled = policy.fresh() ? Optional.empty() : this.pool.acquire(call.address());
+			pooled.ifPresentOrElse(exchange::run, () -> connect(call.address(), exchange));
+		}
+		catch (RuntimeException | Error ex) {
+			// Only the I/O threads send.
+			exchange.fail(CallFailure.NOT_SENT, "the call could not be started: " + ex);
+		}
 		return exchange;
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -58,6 +58,10 @@
 	}
 
 	void read() {
+		this.exchange.confine(this::readWithinWindow);
+	}
+
+	private void readWithinWindow() {
 		if (this.windowBytes <= 0) {
 			this.awaitsGrant = true;
 			this.channel.suspendReads();
@@ -178,7 +182,8 @@
 		this.channel.suspendReads();
 		try {
 			this.channel.getIoThread()
-				.executeAfter(() -> redeliver(part), REDELIVERY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+				.executeAfter(() -> this.exchange.confine(() -> redeliver(part)), REDELIVERY_INTERVAL_MILLIS,
+						TimeUnit.MILLISECONDS);
 		}
 		catch (RejectedExecutionException ex) {
 			this.exchange.abort();
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyWriter.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 
 import org.xnio.channels.StreamSinkChannel;
@@ -17,12 +18,15 @@
 
 	private final Consumer<IOException> onFailure;
 
+	private final Executor steps;
+
 	private boolean complete;
 
-	BodyWriter(StreamSinkChannel channel, ByteBuffer body, Consumer<IOException> onFailure) {
+	BodyWriter(StreamSinkChannel channel, ByteBuffer body, Consumer<IOException> onFailure, Executor steps) {
 		this.channel = channel;
 		this.body = body;
 		this.onFailure = onFailure;
+		this.steps = steps;
 	}
 
 	void write() {
@@ -31,7 +35,7 @@
 				this.channel.suspendWrites();
 			}
 			else {
-				this.channel.getWriteSetter().set((ready) -> write());
+				this.channel.getWriteSetter().set((ready) -> this.steps.execute(this::write));
 				this.channel.resumeWrites();
 			}
 		}
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -18,6 +18,8 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -34,6 +36,8 @@
  */
 public final class Exchange implements OngoingCall {
 
+	private static final Logger LOGGER = LogManager.getLogger(Exchange.class);
+
 	/** Reuse period if the server sends no Keep-Alive timeout, in milliseconds. */
 	private static final long DEFAULT_REUSE_MILLIS = 4_000;
 
@@ -130,17 +134,17 @@
 		}
 		newConnection.client()
 			.getIoThread()
-			.execute(() -> newConnection.client().sendRequest(buildRequest(), new ClientCallback<>() {
+			.execute(() -> confine(() -> newConnection.client().sendRequest(buildRequest(), new ClientCallback<>() {
 				@Override
 				public void completed(ClientExchange exchange) {
-					requestStarted(exchange);
+					confine(() -> requestStarted(exchange));
 				}
 
 				@Override
 				public void failed(IOException ex) {
 					fail(CallFailure.BROKEN, "the request could not be sent: " + ex.getMessage());
 				}
-			}));
+			})));
 	}
 
 	@Override
@@ -187,6 +191,21 @@
 		}
 	}
 
+	/**
+	 * Runs a step of the call. The call fails if the step fails, since the I/O thread
+	 * would only log the failure.
+	 * @param step the step
+	 */
+	void confine(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.error("client: a call to {} failed in this process", this.call.address(), ex);
+			fail(CallFailure.BROKEN, "the call failed in this process: " + ex);
+		}
+	}
+
 	/**
 	 * Records that a part of the body was read.
 	 */
@@ -247,7 +266,7 @@
 		exchange.setResponseListener(new ClientCallback<>() {
 			@Override
 			public void completed(ClientExchange result) {
-				responseReceived(result);
+				confine(() -> responseReceived(result));
 			}
 
 			@Override
@@ -256,7 +275,7 @@
 			}
 		});
 		ByteBuffer body = ByteBuffer.wrap(this.call.body().bytes());
-		this.bodyWriter = new BodyWriter(exchange.getRequestChannel(), body, this::requestBodyFailed);
+		this.bodyWriter = new BodyWriter(exchange.getRequestChannel(), body, this::requestBodyFailed, this::confine);
 		this.bodyWriter.write();
 	}
 
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -1,5 +1,6 @@
 package org.rattanhead.upstream.forward;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -7,12 +8,15 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
+import org.rattanhead.client.CallFailure;
 import org.rattanhead.client.ConnectPolicy;
+import org.rattanhead.client.HttpCall;
 import org.rattanhead.client.HttpClient;
 import org.rattanhead.client.HttpHead;
 import org.rattanhead.client.HttpReply;
 import org.rattanhead.core.HandlerTable;
 import org.rattanhead.core.forward.AttemptFault;
+import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.request.AttemptId;
 import org.rattanhead.decision.forward.AbortAttempt;
@@ -148,8 +152,20 @@
 		ForwardObserver observer = new ForwardObserver(command.call(), this.codec, this.decisions,
 				() -> this.calls.remove(attempt, call));
 		ConnectPolicy policy = new ConnectPolicy(command.call().freshConnection(), command.connectMillis());
-		call.started(this.caller.start(this.codec.encode(command.call()), observer, policy));
-		return true;
+		Optional<HttpCall> encoded = encode(command.call(), observer);
+		encoded.ifPresent((httpCall) -> call.started(this.caller.start(httpCall, observer, policy)));
+		return encoded.isPresent();
+	}
+
+	private Optional<HttpCall> encode(ForwardCall call, ForwardObserver observer) {
+		try {
+			return Optional.of(this.codec.encode(call));
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.error("upstream: a request to instance {} cannot be encoded", call.instance().id(), ex);
+			observer.onFailure(CallFailure.NOT_SENT, "the request cannot be encoded: " + ex);
+			return Optional.empty();
+		}
 	}
 
 	private boolean sendReservation(UpdateReservation task) {
