--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RequestProgress.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RequestProgress.java
@@ -17,6 +17,12 @@
 	/** A prompt waits, since every engine writes streams of a peer. */
 	HELD(Execution.NOT_RUN, RequestProgress::hold),
 
+	/** A prompt waits for memory on several engines. */
+	RESERVING(Execution.NOT_RUN, (rig) -> {
+		rig.submit("/long/", 900_000, ForwardRig.KEY, 1);
+		assertThat(rig.all(ReserveTicket.class)).isNotEmpty();
+	}),
+
 	/** A lookup was sent. */
 	SENT(Execution.FAILED, (rig) -> rig.submit("/look/")),
 
@@ -38,6 +44,8 @@
 
 	static final int ENGINES = 4;
 
+	private static final int ENGINES_FOR_RESERVATIONS = 16;
+
 	private static final int STREAMS_PER_ENGINE = 6;
 
 	private final Execution execution;
@@ -49,6 +57,15 @@
 		this.preparation = preparation;
 	}
 
+	/**
+	 * Returns the number of engines that a stage needs.
+	 * @param stage the stage
+	 * @return the number of engines
+	 */
+	static int engines(RequestProgress stage) {
+		return (stage == RESERVING) ? ENGINES_FOR_RESERVATIONS : ENGINES;
+	}
+
 	/**
 	 * Returns what the caller may be told of the execution.
 	 * @return the execution
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ShutdownTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ShutdownTests.java
@@ -47,14 +47,16 @@
 	@ParameterizedTest
 	@EnumSource
 	void givesEveryRequestItsFinalReplyAtTheEnd(RequestProgress progress) {
-		ForwardRig rig = ForwardRig.configured(RequestProgress.ENGINES, 1);
+		ForwardRig rig = ForwardRig.configured(RequestProgress.engines(progress), 1);
 		progress.prepare(rig);
 		rig.handle(new GraceEnded());
 		assertThat(rig.all(AbortReply.class)).hasSize((progress == RequestProgress.STREAMING) ? 1 : 0);
 		assertThat(rig.all(RefuseRequest.class)).hasSize((progress == RequestProgress.STREAMING) ? 0 : 1);
 		rig.all(RefuseRequest.class)
 			.forEach((reply) -> assertThat(reply.problem().execution()).isEqualTo(progress.execution()));
-		assertThat(rig.all(AbortAttempt.class)).hasSize((progress == RequestProgress.HELD) ? 0 : 1);
+		assertThat(rig.all(AbortAttempt.class)).hasSameSizeAs(rig.all(CallInstance.class));
+		rig.all(ReserveTicket.class)
+			.forEach((order) -> rig.handle(new TicketReplied(order.ticket(), TicketOutcome.RELEASED)));
 		assertThat(rig.all(ForwardDrained.class)).isNotEmpty();
 		rig.submit("/look/");
 		assertThat(rig.last(RefuseRequest.class).problem().execution()).isEqualTo(Execution.NOT_RUN);
