--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcess.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcess.java
@@ -65,6 +65,14 @@
 		return this.callersAddress;
 	}
 
+	/**
+	 * Returns the settings file, which the process reads again on SIGHUP.
+	 * @return the file
+	 */
+	public Path settings() {
+		return this.settings;
+	}
+
 	/**
 	 * Starts the process, on the same addresses each time.
 	 * @throws IOException if it cannot be started
