Answer requests whose decoding fails with an unexpected exception

What callers saw: a request with the field "X-Token-Usage: ," was answered with an empty 500 if its body came in the same segment as its head, and never otherwise. The next request on the same kept connection was never answered in both cases.

Cause: ForwardHandler caught ProblemException only. By then the caller was registered and its DisconnectDetector had taken the read handler of the connection. If the body ended in a read listener, XNIO logged the exception and nobody replied. If it ended in the dispatch, Undertow replied 500, but the detector kept the read handler, so that the next request was read and handed back, and nothing resumed reading. In the same way, a refusal that could not be encoded was lost after its stream had been removed from the registry.

Evidence, real gateway process: ArrayIndexOutOfBoundsException in its log, the caller timed out.

Change: every exception of the codec ends with a reply: 500 with the word "not run", which is true, since the request was not offered to the decisions. The offer stands outside of the try block, so that no exception after it can claim this. A refusal that cannot be encoded becomes an empty 500.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.undertow.server.HttpHandler;
@@ -11,6 +12,8 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.HttpField;
 import org.rattanhead.core.Payload;
@@ -36,6 +39,8 @@
  */
 public final class ForwardHandler implements HttpHandler {
 
+	private static final Logger LOGGER = LogManager.getLogger(ForwardHandler.class);
+
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	private final String idPrefix;
@@ -89,16 +94,29 @@
 
 	private void submit(HttpServerExchange exchange, RequestId id, Payload body) {
 		this.registry.register(id, exchange);
+		decode(exchange, id, body).ifPresent(this::offer);
+	}
+
+	private Optional<ForwardRequest> decode(HttpServerExchange exchange, RequestId id, Payload body) {
 		try {
-			ForwardRequest request = this.codec.decode(requestHead(exchange, id), body);
-			if (!this.forwardEvents.offer(new ForwardSubmitted(request), Urgency.NEW_WORK)) {
-				this.registry.refuse(new RefuseRequest(id, Problem.notRun(ProblemKind.OVERLOADED,
-						"The queue of forwarded requests is full.", RETRY_AFTER_MILLIS)));
-			}
+			return Optional.of(this.codec.decode(requestHead(exchange, id), body));
 		}
 		catch (ProblemException ex) {
 			this.registry.refuse(new RefuseRequest(id, ex.problem()));
 		}
+		catch (RuntimeException ex) {
+			LOGGER.error("http: the head of request {} cannot be decoded; the request is refused", id, ex);
+			this.registry.refuse(new RefuseRequest(id,
+					Problem.notRun(ProblemKind.INTERNAL, "The head of the request cannot be decoded.")));
+		}
+		return Optional.empty();
+	}
+
+	private void offer(ForwardRequest request) {
+		if (!this.forwardEvents.offer(new ForwardSubmitted(request), Urgency.NEW_WORK)) {
+			this.registry.refuse(new RefuseRequest(request.id(), Problem.notRun(ProblemKind.OVERLOADED,
+					"The queue of forwarded requests is full.", RETRY_AFTER_MILLIS)));
+		}
 	}
 
 	private void refuseAndClose(HttpServerExchange exchange, RequestId id, Problem problem) {
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -1,11 +1,17 @@
 package org.rattanhead.http.internal;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 
 import io.undertow.server.HttpServerExchange;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
+import org.rattanhead.core.Payload;
+import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.forward.AbortReply;
 import org.rattanhead.decision.forward.BeginReply;
@@ -17,6 +23,7 @@
 import org.rattanhead.decision.forward.ReplyWritten;
 import org.rattanhead.http.forward.ForwardCodec;
 import org.rattanhead.http.forward.ForwardReplyWriter;
+import org.rattanhead.http.forward.RefusalReply;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
 
@@ -25,6 +32,8 @@
  */
 public final class ForwardRegistry implements ForwardReplyWriter {
 
+	private static final Logger LOGGER = LogManager.getLogger(ForwardRegistry.class);
+
 	private final ConcurrentMap<RequestId, ForwardStream> streams = new ConcurrentHashMap<>();
 
 	private final OpenExchanges exchanges = new OpenExchanges();
@@ -80,8 +89,18 @@
 
 	@Override
 	public void refuse(RefuseRequest command) {
-		remove(command.request())
-			.ifPresent((stream) -> stream.refuse(this.codec.refuse(command.problem()), this.closing));
+		remove(command.request()).ifPresent((stream) -> stream.refuse(encode(command.problem()), this.closing));
+	}
+
+	private RefusalReply encode(Problem problem) {
+		try {
+			return this.codec.refuse(problem);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("http: a refusal cannot be encoded; the caller gets status {}", ProblemKind.INTERNAL.status(),
+					ex);
+			return new RefusalReply(ProblemKind.INTERNAL.status(), List.of(), Payload.of(""));
+		}
 	}
 
 	@Override
--- /dev/null
+++ b/rattanhead-http/src/test/java/org/rattanhead/http/forward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the front end for forwarded requests.
+ */
+package org.rattanhead.http.forward;
