Ask for the body of requests that expect 100 Continue

What callers saw: a request with "Expect: 100-continue" whose caller sends its body only after the interim answer was not answered for 10 s, and then with 408.

Cause: Undertow sends 100 only through HttpContinueReadHandler, which the front end did not install; the field itself is dropped before the request is passed on.

Change: the handler of forwarded requests is wrapped, so that 100 is sent at the first read of the body. A request that is refused for its head is refused without it, as before.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
@@ -44,7 +45,8 @@
 	public ForwardFrontEnd(String daemonName, ForwardSettings settings, ForwardCodec codec,
 			EventSink<ForwardEvent> decisions, List<ServedPage> pages) {
 		this.registry = new ForwardRegistry(codec, decisions);
-		HttpHandler forwardHandler = new ForwardHandler(daemonName, settings, codec, decisions, this.registry);
+		HttpHandler forwardHandler = Handlers
+			.httpContinueRead(new ForwardHandler(daemonName, settings, codec, decisions, this.registry));
 		Undertow.Builder builder = Undertow.builder()
 			.setIoThreads(1)
 			.setWorkerThreads(1)
