End responses whose writing fails with an exception

What callers would see: no answer, or a status and fields of one answer without its body. No input was found that reaches this in a gateway today: the client of instances rejects the statuses and names of fields that Undertow would refuse (tried: 31 statuses from -1 to 2000, 20 odd fields). It is the last step of a request that had no boundary.

Cause: an exception in the head, body or end action of ResponseOutbox ended the task on the I/O thread. The actions had been taken from the outbox before, so nothing followed; after a head that failed, a later body would have been sent under the default status 200. With 32 KiB or more, the outbox also stayed marked as scheduled for ever.

Evidence, FailedResponseTests before this change (it reads to the end of the connection, which did not come): Tests run: 4, Failures: 0, Errors: 4 SocketTimeoutException: Read timed out (four)

Change: ResponseOutbox ends such a response with ResponseWriter.fail(): status 500 without the fields of the answer if nothing was sent, a closed connection otherwise. The owner learns it as a disconnect, so that work for the caller stops. Parts that come after the end are dropped.

Result: FailedResponseTests 4, BrokenResponseTests 5 and ResponseOutboxTests 6 pass.

--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
@@ -2,6 +2,9 @@
 
 import java.util.concurrent.Executor;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.PayloadBuffer;
 import org.rattanhead.core.TurnQueue;
@@ -14,6 +17,8 @@
  */
 public final class ResponseOutbox {
 
+	private static final Logger LOGGER = LogManager.getLogger(ResponseOutbox.class);
+
 	private static final int MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
 	/** After this many bytes at once, the next ones wait for a turn. */
@@ -112,11 +117,17 @@
 			this.head = NOTHING;
 			this.end = NOTHING;
 		}
-		newHead.run();
-		if (newBody.length() > 0) {
-			this.writer.write(newBody);
+		try {
+			newHead.run();
+			if (newBody.length() > 0) {
+				this.writer.write(newBody);
+			}
+			newEnd.run();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("server: a response cannot be written; its caller gets status 500 or a closed connection", ex);
+			this.writer.fail();
 		}
-		newEnd.run();
 		if (bulk) {
 			this.turns.add(this::run);
 		}
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
@@ -7,6 +7,8 @@
 import java.util.function.IntConsumer;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -43,7 +45,8 @@
 	 * Creates the writer of one response.
 	 * @param exchange the exchange
 	 * @param onDisconnect runs each time this writer closes the connection: after a write
-	 * error, when too many bytes are pending, or after {@link #abort()}
+	 * error, when too many bytes are pending, or after {@link #abort()}, and after
+	 * {@link #fail()}
 	 */
 	public ResponseWriter(HttpServerExchange exchange, Runnable onDisconnect) {
 		this(exchange, onDisconnect, (bytes) -> {
@@ -68,6 +71,9 @@
 	 * @param bytes the bytes
 	 */
 	public void write(Payload bytes) {
+		if (this.closed) {
+			return;
+		}
 		this.pendingBytes += bytes.length();
 		if (this.pendingBytes > MAX_PENDING_BYTES) {
 			close();
@@ -109,6 +115,28 @@
 		flushPending();
 	}
 
+	/**
+	 * Ends a response that cannot be written: with status 500 if it has not started, by
+	 * closing the connection otherwise.
+	 */
+	public void fail() {
+		if (this.closed) {
+			return;
+		}
+		if (this.exchange.isResponseStarted()) {
+			close();
+			return;
+		}
+		this.pending.clear();
+		this.pendingBytes = 0;
+		this.exchange.getResponseHeaders().clear();
+		this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, 0);
+		this.exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
+		this.exchange.setPersistent(false);
+		end();
+		this.onDisconnect.run();
+	}
+
 	private void flushPending() {
 		if (this.closed) {
 			return;
