Keep the limits that servers name, over all gateways

Cause: nothing decoded Server-Limit, and no gateway counted what the others start on an instance. A share of each gateway, as for cold instances, would not have kept a limit of 1 a second: it is at least one request a second each. Change: the limit of an incarnation is decoded from any answer but a 421, told to the other gateways at once (MeshLimits) and with heartbeats, and ended or raised only by an answer that is newer for certain. All gateways count all starts that they know of on one rate with debt (package decision.limit) and use the part of the limit of those that they hear. Requests wait for a turn if it comes in time, else they are refused at once with the time of a turn. Prompts read in parts avoid limited instances. docs/design/server-limits.md. Why it works: starts that several gateways make at the same moment are paid back by a longer wait, so that the mean over 4 s stays at the limit; what a gateway cannot hear, it leaves to those that it cannot hear. SharedLimitTests (virtual clock, 2, 8 and 16 gateways, lost and late datagrams, joins, restarts, deaths, halves) and InstanceLimitsTests are new.

--- a/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberHeartbeat.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/forward/MemberHeartbeat.java
@@ -13,9 +13,25 @@
  * @param crashes the requests that recently crashed instances
  * @param servingMembers the serving daemons that the sender receives heartbeats from, for
  * standby daemons
+ * @param limits the limits that instances have named
  */
 public record MemberHeartbeat(Member member, boolean ready, boolean serving, long configurationVersion,
-		List<LoadEntry> load, List<CrashReport> crashes, List<Member> servingMembers) {
+		List<LoadEntry> load, List<CrashReport> crashes, List<Member> servingMembers, List<LimitReport> limits) {
+
+	/**
+	 * Creates a heartbeat without limits of instances.
+	 * @param member the daemon
+	 * @param ready whether callers may use it
+	 * @param serving whether its address is published to callers
+	 * @param configurationVersion the version of its active configuration
+	 * @param load all work it has placed
+	 * @param crashes the requests that recently crashed instances
+	 * @param servingMembers the serving daemons that the sender receives heartbeats from
+	 */
+	public MemberHeartbeat(Member member, boolean ready, boolean serving, long configurationVersion,
+			List<LoadEntry> load, List<CrashReport> crashes, List<Member> servingMembers) {
+		this(member, ready, serving, configurationVersion, load, crashes, servingMembers, List.of());
+	}
 
 	/**
 	 * Returns a copy of this heartbeat that lists serving daemons.
@@ -24,7 +40,7 @@
 	 */
 	public MemberHeartbeat withServingMembers(List<Member> members) {
 		return new MemberHeartbeat(this.member, this.ready, this.serving, this.configurationVersion, this.load,
-				this.crashes, members);
+				this.crashes, members, this.limits);
 	}
 
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -14,6 +14,7 @@
 import org.rattanhead.decision.forward.LogDecision;
 import org.rattanhead.decision.forward.PublishCrashes;
 import org.rattanhead.decision.forward.PublishHeartbeat;
+import org.rattanhead.decision.forward.PublishLimits;
 import org.rattanhead.decision.forward.PublishLoadEnded;
 import org.rattanhead.decision.forward.PublishLoadStarted;
 import org.rattanhead.decision.forward.PublishNotice;
@@ -52,6 +53,7 @@
 			.on(PublishLoadEnded.class, (command, now) -> done(() -> mesh.offer(new SendLoadEnded(command))))
 			.on(PublishHeartbeat.class, (command, now) -> done(() -> mesh.offer(new SendHeartbeat(command))))
 			.on(PublishCrashes.class, (command, now) -> done(() -> mesh.offer(new SendCrashes(command))))
+			.on(PublishLimits.class, (command, now) -> done(() -> mesh.offer(new SendLimits(command))))
 			.on(PublishNotice.class, (command, now) -> done(() -> mesh.offer(new SendNotice(command))))
 			.on(StoreSuspect.class,
 					(command, now) -> done(
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -14,6 +14,7 @@
 
 import org.rattanhead.core.HandlerTable;
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
@@ -24,6 +25,7 @@
 import org.rattanhead.decision.forward.PeerCountChanged;
 import org.rattanhead.decision.forward.PeerCrashesReceived;
 import org.rattanhead.decision.forward.PeerHeartbeatReceived;
+import org.rattanhead.decision.forward.PeerLimitsReceived;
 import org.rattanhead.decision.forward.PeerLoadEnded;
 import org.rattanhead.decision.forward.PeerLoadStarted;
 import org.rattanhead.decision.forward.PeerNoticeReceived;
@@ -131,6 +133,9 @@
 		}).on(SendCrashes.class, (event, now) -> {
 			network().sendCrashes(this.table.loadRecipients(), event.command().reports());
 			return true;
+		}).on(SendLimits.class, (event, now) -> {
+			network().sendLimits(this.table.loadRecipients(), event.command().reports());
+			return true;
 		}).on(SendNotice.class, (event, now) -> {
 			network().sendNotice(this.table.loadRecipients(), event.command().instance(), event.command().incarnation(),
 					event.command().notice());
@@ -173,6 +178,11 @@
 		this.decisions.offer(new PeerNoticeReceived(instance, incarnation, notice), Urgency.CONTROL);
 	}
 
+	@Override
+	public void onLimits(List<LimitReport> reports) {
+		this.decisions.offer(new PeerLimitsReceived(reports), Urgency.CONTROL);
+	}
+
 	@Override
 	public void onStreamUpdate(String host, StreamUpdate update) {
 		offer(new StreamUpdateReceived(host, update));
@@ -214,7 +224,7 @@
 		if (!this.serving) {
 			this.table.receiveReport(heartbeat.servingMembers(), nowNanos);
 		}
-		boolean empty = heartbeat.load().isEmpty() && heartbeat.crashes().isEmpty();
+		boolean empty = heartbeat.load().isEmpty() && heartbeat.crashes().isEmpty() && heartbeat.limits().isEmpty();
 		if (!empty) {
 			this.peersWithLoad.add(heartbeat.member().host());
 		}
@@ -223,9 +233,8 @@
 		// serving daemon without load; further ones carry no information.
 		boolean first = heartbeat.serving() && this.reportedPeers.add(heartbeat.member().host());
 		if (!empty || this.peersWithLoad.remove(heartbeat.member().host()) || first) {
-			this.decisions.offer(
-					new PeerHeartbeatReceived(heartbeat.member().host(), heartbeat.load(), heartbeat.crashes()),
-					Urgency.STREAM);
+			this.decisions.offer(new PeerHeartbeatReceived(heartbeat.member().host(), heartbeat.load(),
+					heartbeat.crashes(), heartbeat.limits()), Urgency.STREAM);
 		}
 		return true;
 	}
@@ -253,7 +262,7 @@
 	private void sendHeartbeat(PublishHeartbeat command, boolean servedBefore) {
 		List<Member> servingPeers = this.table.serving();
 		MemberHeartbeat heartbeat = new MemberHeartbeat(this.self, this.status.ready(), this.serving,
-				command.configurationVersion(), command.load(), command.crashes(), List.of());
+				command.configurationVersion(), command.load(), command.crashes(), List.of(), command.limits());
 		if (this.serving || servedBefore) {
 			this.network.sendHeartbeat(this.table.loadRecipients(), heartbeat);
 			if (servedBefore != this.serving || this.heartbeatCount % ServingDecider.SERVER_REPORT_PERIODS == 0) {
@@ -271,11 +280,12 @@
 		int alive = this.table.aliveCount();
 		int fleet = this.fleetCount.update(servingPeers.size() + (this.serving ? 1 : 0), alive,
 				this.table.recipients().size() + 1, nowNanos);
-		PeerCountChanged count = new PeerCountChanged(this.table.sharingCount(), fleet);
+		PeerCountChanged count = new PeerCountChanged(this.table.sharingCount(),
+				this.serving ? this.table.loadRecipients().size() + 1 : 1, fleet);
 		if (!count.equals(this.publishedCount)) {
 			this.publishedCount = count;
-			LOGGER.info("peer: {} daemons share limits, {} daemons are alive, {} in the fleet", count.daemons(), alive,
-					fleet);
+			LOGGER.info("peer: {} daemons share limits, load of {} is received, {} daemons are alive, {} in the fleet",
+					count.daemons(), count.heard(), alive, fleet);
 			this.decisions.offer(count, Urgency.CONTROL);
 		}
 	}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshEvent.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshEvent.java
@@ -4,7 +4,7 @@
  * An event that {@link MeshDuty} handles.
  */
 sealed interface MeshEvent permits MemberAnnounced, HeartbeatReceived, SendHeartbeat, SendLoadStarted, SendLoadEnded,
-		SendStreamUpdate, StreamUpdateReceived, SendCrashes, SendNotice, RequestSnapshot, SnapshotRequestReceived,
-		SendSnapshot, SnapshotReceived {
+		SendStreamUpdate, StreamUpdateReceived, SendCrashes, SendNotice, SendLimits, RequestSnapshot,
+		SnapshotRequestReceived, SendSnapshot, SnapshotReceived {
 
 }
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/NoticeLoad.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/NoticeLoad.java
@@ -59,10 +59,15 @@
 		return isServed(call(gateway, "/look/a", "w"));
 	}
 
-	void awaitServed() throws InterruptedException {
+	void awaitServed() throws IOException, InterruptedException {
 		for (int gateway = 0; gateway < this.gateways.size(); gateway++) {
 			int index = gateway;
-			GatewayRig.await(() -> accepts(index));
+			try {
+				GatewayRig.await(() -> accepts(index));
+			}
+			catch (AssertionError ex) {
+				throw new AssertionError("gateway " + index + " did not start: " + this.gateways.get(index).log(), ex);
+			}
 		}
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.rattanhead.core.Millis;
@@ -33,12 +34,15 @@
 
 	private final FairSharing sharing;
 
+	private final TurnRules turns;
+
 	private final RetrySchedule schedule;
 
 	private final ReturningCallers returning = new ReturningCallers();
 
-	CapacityRules(ForwardState state, FairSharing sharing) {
+	CapacityRules(ForwardState state, FairSharing sharing, TurnRules turns) {
 		this.state = state;
+		this.turns = turns;
 		this.sharing = sharing;
 		this.schedule = new RetrySchedule(state.random());
 	}
@@ -68,7 +72,12 @@
 	 * @return the time in milliseconds, empty if the service is not short of capacity
 	 */
 	OptionalLong retryAfterMillis(Forwarding forwarding, long nowNanos) {
-		OptionalLong quietMillis = this.state.fleet().quietMillis(forwarding.service(), nowNanos);
+		OptionalLong quietMillis = QuietTimes.millis(this.state.fleet(), forwarding.service(), nowNanos);
+		OptionalDouble turnMillis = this.turns.turnMillis(forwarding, nowNanos);
+		if (quietMillis.isEmpty() && turnMillis.isPresent()) {
+			return OptionalLong
+				.of(this.schedule.retryAfterMillis(turnMillis.getAsDouble(), forwarding.remainingMillis(nowNanos)));
+		}
 		if (quietMillis.isPresent() || !shortage(forwarding.service(), nowNanos)) {
 			return quietMillis;
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
@@ -25,6 +25,9 @@
 	/** The work placed on all instances leaves no time for the request. */
 	NO_TIME("No instance is expected to complete the request before the deadline.", ProblemKind.OVERLOADED),
 
+	/** The instances take no more requests a second. */
+	LIMITS_REACHED("All instances have reached their limits of requests a second.", ProblemKind.OVERLOADED),
+
 	/** All servers would reject the request. */
 	QUEUES_FULL("The queues of all instances are full.", ProblemKind.OVERLOADED);
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -47,13 +47,16 @@
 
 	private final ForwardState state;
 
+	private final TurnRules turns;
+
 	private final CapacityRules capacity;
 
 	private final FairSharing sharing;
 
 	Dispatcher(ForwardState state, FairSharing sharing) {
 		this.state = state;
-		this.capacity = new CapacityRules(state, sharing);
+		this.turns = new TurnRules(state);
+		this.capacity = new CapacityRules(state, sharing, this.turns);
 		this.sharing = sharing;
 	}
 
@@ -75,7 +78,7 @@
 	DispatchResult dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		Optional<PlacementPlan> found = plan(forwarding, nowNanos);
 		if (found.isEmpty()) {
-			return DispatchResult.NO_INSTANCE;
+			return this.turns.holdOrRefuse(forwarding, nowNanos, commands);
 		}
 		PlacementPlan plan = found.get();
 		if (deadlineUnreachable(forwarding, nowNanos)) {
@@ -102,7 +105,7 @@
 		commands.add(logPlacement(forwarding, plan, nowNanos));
 		if (plan.reserves()) {
 			forwarding.stage(ForwardStage.RESERVING, deadlineAfter(nowNanos, RESERVATION_TIMEOUT_MILLIS));
-			this.state.tickets().reserve(tickets(plan, attempt), nowNanos, commands);
+			this.state.tickets().reserve(plan.tickets(attempt), nowNanos, commands);
 		}
 		else {
 			send(forwarding, nowNanos, commands);
@@ -112,21 +115,23 @@
 
 	/**
 	 * Returns whether an instance other than the current one accepts the request. One
-	 * that failed recently counts, since the request fails otherwise.
+	 * that failed recently counts, since the request fails otherwise, and one whose turn
+	 * comes in time.
 	 * @param forwarding the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @return true if there is one
 	 */
 	boolean hasAlternative(Forwarding forwarding, long nowNanos) {
 		return this.state.fleet()
-			.hasOther(forwarding.service(), forwarding.excluded(), forwarding.plan().primary(), nowNanos);
+			.hasOther(forwarding.service(), forwarding.excluded(), forwarding.plan().primary(), nowNanos)
+				|| this.turns.alternativeInTime(forwarding, nowNanos);
 	}
 
 	void send(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		PlacementPlan plan = forwarding.plan();
 		List<Helper> helpers = new ArrayList<>();
 		for (PlannedHelper helper : plan.helpers()) {
-			String ticket = (helper.reservedTokens() > 0) ? ticketName(forwarding.attempt(), helper) : "";
+			String ticket = (helper.reservedTokens() > 0) ? helper.ticketName(forwarding.attempt()) : "";
 			helpers.add(new Helper(helper.load().instance().address(), ticket));
 		}
 		Optional<String> resumeAfter = forwarding.relay().lastEventId().or(forwarding.request()::lastEventId);
@@ -199,8 +204,10 @@
 		PlacementQuery query = new PlacementQuery(forwarding.route(), forwarding.service().engine(), tokens, expected,
 				forwarding.elapsedMillis(nowNanos), settled, forwarding.rank().weight(), InstanceLoad::streams, false);
 		InstancePlacement placement = engine ? EnginePlacement::place : ServicePlacement::place;
-		List<InstanceLoad> candidates = this.state.fleet()
-			.candidates(forwarding.service(), forwarding.excluded(), nowNanos);
+		boolean split = engine
+				&& !EnginePlacement.isSingleRead(forwarding.service().engine().get(), tokens.promptTokens());
+		List<InstanceLoad> candidates = this.turns.select(forwarding, split,
+				this.state.fleet().candidates(forwarding.service(), forwarding.excluded(), nowNanos));
 		if (this.state.fleet().even()) {
 			return new EvenPlacement(this.state.fleet(), forwarding.service(), this.state.random()).place(query,
 					candidates, nowNanos);
@@ -220,7 +227,7 @@
 				this.capacity.deferred(forwarding, late(forwarding, plan, nowNanos), nowNanos),
 				forwarding.policy().workspaceHash()));
 		for (PlannedHelper helper : plan.helpers()) {
-			load.add(new LoadEntry(ticketName(attempt, helper), helper.load().instance().id(), helper.reservedTokens(),
+			load.add(new LoadEntry(helper.ticketName(attempt), helper.load().instance().id(), helper.reservedTokens(),
 					plan.partMillis(), 0, 0, remainingMillis));
 		}
 		return load;
@@ -245,19 +252,6 @@
 				this.sharing.yields(forwarding, forwarding.plan()), waitedShare));
 	}
 
-	private static List<Ticket> tickets(PlacementPlan plan, AttemptId attempt) {
-		return plan.helpers()
-			.stream()
-			.filter((helper) -> helper.reservedTokens() > 0)
-			.map((helper) -> new Ticket(ticketName(attempt, helper), attempt, helper.load().instance().id(),
-					helper.load().instance().address(), helper.reservedTokens()))
-			.toList();
-	}
-
-	private static String ticketName(AttemptId attempt, PlannedHelper helper) {
-		return attempt + "-" + helper.load().instance().id();
-	}
-
 	private static long responseDeadline(Forwarding forwarding, long nowNanos) {
 		if (!forwarding.route().repeatable()) {
 			return Long.MAX_VALUE;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/FairSharing.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/FairSharing.java
@@ -61,7 +61,11 @@
 
 	private WorkspaceShares shares(Forwarding forwarding) {
 		WorkspaceShares shares = new WorkspaceShares();
-		this.state.fleet().countStreams(forwarding.service(), shares);
+		this.state.fleet()
+			.all()
+			.stream()
+			.filter((load) -> load.instance().service().equals(forwarding.service().name()))
+			.forEach((load) -> load.countStreams(shares));
 		return shares;
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -11,6 +11,7 @@
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.problem.ProblemException;
 import org.rattanhead.core.request.AttemptId;
+import org.rattanhead.decision.limit.FleetShare;
 
 /**
  * Decides for the requests that callers send to this daemon. The state is owned by one
@@ -39,6 +40,8 @@
 
 	private final NoticeRules notices;
 
+	private final LimitRules limits;
+
 	private boolean draining;
 
 	/**
@@ -55,6 +58,7 @@
 		this.attempts = new AttemptRules(this.state, this.dispatcher);
 		this.crashes = new CrashRules(this.state, this.attempts);
 		this.notices = new NoticeRules(this.state);
+		this.limits = new LimitRules(this.state);
 		registerRequests();
 		registerFleet();
 		this.events.covering(ForwardEvent.class);
@@ -70,6 +74,7 @@
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
 		this.crashes.applyChanges(nowNanos, commands);
 		commands.removeIf((command) -> !this.notices.permits(command, nowNanos));
+		this.limits.countOrders(commands, nowNanos);
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
 		}
@@ -92,9 +97,10 @@
 					.ifPresent((forwarding) -> this.attempts.callerDisconnected(forwarding, now, commands));
 				return commands;
 			})
-			.on(AttemptAnswered.class,
-					(event, now) -> current(event.attempt(),
-							(forwarding, commands) -> this.attempts.answered(forwarding, event.head(), now, commands)))
+			.on(AttemptAnswered.class, (event, now) -> current(event.attempt(), (forwarding, commands) -> {
+				this.limits.answered(forwarding, event.head(), now, commands);
+				this.attempts.answered(forwarding, event.head(), now, commands);
+			}))
 			.on(AttemptContinued.class, (event, now) -> current(event.attempt(),
 					(forwarding, commands) -> this.attempts.continued(forwarding, event.bytes(), now, commands)))
 			.on(AttemptFinished.class,
@@ -109,7 +115,9 @@
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> {
 				List<ForwardCommand> commands = new ArrayList<>(List.of(heartbeat(now)));
-				commands.addAll(this.state.fleet().balance());
+				if (this.state.fleet().even()) {
+					commands.addAll(BalanceReports.of(this.state.fleet().all()));
+				}
 				return commands;
 			})
 			.on(ShutdownStarted.class, (event, now) -> changed(() -> this.state.shutdown(event.endNanos())))
@@ -121,7 +129,12 @@
 		UpstreamFleet fleet = this.state.fleet();
 		this.events.on(ConfigurationApplied.class, (event, now) -> configure(event.configuration()))
 			.on(InstancesChanged.class, (event, now) -> changed(() -> fleet.update(event.instances(), now)))
-			.on(InstanceNoticed.class, this.notices::noticed)
+			.on(InstanceNoticed.class, (event, now) -> {
+				List<ForwardCommand> commands = new ArrayList<>(this.notices.noticed(event, now));
+				commands.addAll(this.limits.noticed(event, now));
+				return commands;
+			})
+			.on(PeerLimitsReceived.class, (event, now) -> this.limits.reported(event.reports(), now))
 			.on(PeerNoticeReceived.class, this.notices::receivedFromPeer)
 			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
 			.on(PeerLoadStarted.class,
@@ -130,16 +143,20 @@
 			.on(PeerLoadEnded.class,
 					(event, now) -> messageReceived(event.host(), now,
 							() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
-			.on(PeerHeartbeatReceived.class, (event, now) -> messageReceived(event.host(), now, () -> {
-				fleet.replace(event.host(), event.load(), now);
-				this.state.suspects().receive(event.crashes(), now);
-			}))
+			.on(PeerHeartbeatReceived.class, (event, now) -> {
+				messageReceived(event.host(), now, () -> {
+					fleet.replace(event.host(), event.load(), now);
+					this.state.suspects().receive(event.crashes(), now);
+				});
+				return this.limits.reported(event.limits(), now);
+			})
 			.on(PeerCrashesReceived.class,
 					(event, now) -> changed(() -> this.state.suspects().receive(event.reports(), now)))
 			.on(StoredSuspectsChanged.class, (event, now) -> changed(() -> storedSuspectsChanged(event, now)))
 			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.lost(event.host(), now)))
 			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
 				fleet.daemons(event.daemons());
+				fleet.turns().share(new FleetShare(event.daemons(), event.heard()));
 				fleet.fleetDaemons(event.fleet());
 				this.state.fleetDaemons(event.fleet());
 				this.state.budget().daemons(event.daemons());
@@ -231,7 +248,8 @@
 	private PublishHeartbeat heartbeat(long nowNanos) {
 		long version = this.state.routes().map((routes) -> routes.configuration().version()).orElse(0L);
 		List<LoadEntry> load = this.state.all().stream().flatMap((forwarding) -> forwarding.load().stream()).toList();
-		return new PublishHeartbeat(version, load, this.state.suspects().reports(nowNanos));
+		return new PublishHeartbeat(version, load, this.state.suspects().reports(nowNanos),
+				this.limits.reports(nowNanos));
 	}
 
 	private List<ForwardCommand> configure(Configuration configuration) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardEvent.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardEvent.java
@@ -7,6 +7,6 @@
 		AttemptContinued, AttemptFinished, AttemptFailed, TicketReplied, ConfigurationApplied, InstancesChanged,
 		DomainsEvacuated, PeerLoadStarted, PeerLoadEnded, PeerHeartbeatReceived, PeerCountChanged, PeerUnresponsive,
 		ForwardTick, HeartbeatDue, ForwardDraining, PeerCrashesReceived, StoredSuspectsChanged, ReplyWritten,
-		ShutdownStarted, GraceEnded, InstanceNoticed, PeerNoticeReceived {
+		ShutdownStarted, GraceEnded, InstanceNoticed, PeerNoticeReceived, PeerLimitsReceived {
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -48,7 +48,7 @@
 	ForwardState(String self, ForwardLimits limits, RandomGenerator random) {
 		this.self = self;
 		this.random = random;
-		this.fleet = new UpstreamFleet(self, limits.evenLoadFrom());
+		this.fleet = new UpstreamFleet(self, limits.evenLoadFrom(), random);
 		this.refuseFrom = limits.refuseFrom();
 		this.budget = new RetryBudget(limits);
 		this.tickets = new TicketRegistry(limits.maxHoldMillis());
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Forwarding.java
@@ -86,9 +86,6 @@
 		return new AttemptId(this.request.id(), this.attempts + 1);
 	}
 
-	/**
-	 * Ends the current attempt and holds the request in this daemon.
-	 */
 	void hold() {
 		this.attempt = null;
 		this.load = List.of();
@@ -126,6 +123,10 @@
 		this.answerGoesOn = false;
 	}
 
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
 	/**
 	 * Records that data of the current attempt arrived.
 	 * @param nowNanos the time on the monotonic clock
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerCountChanged.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerCountChanged.java
@@ -5,16 +5,26 @@
  * count, since they may be running but unreachable.
  *
  * @param daemons the daemons that share limits, this one included
+ * @param heard the daemons whose load updates this daemon receives, this one included
  * @param fleet all daemons, including those on standby
  */
-public record PeerCountChanged(int daemons, int fleet) implements ForwardEvent {
+public record PeerCountChanged(int daemons, int heard, int fleet) implements ForwardEvent {
 
 	/**
 	 * Creates the event for a fleet in which all daemons share limits.
 	 * @param daemons the daemons, this one included
 	 */
 	public PeerCountChanged(int daemons) {
-		this(daemons, daemons);
+		this(daemons, daemons, daemons);
+	}
+
+	/**
+	 * Creates the event for a fleet in which all daemons that share limits are heard.
+	 * @param daemons the daemons that share limits, this one included
+	 * @param fleet all daemons
+	 */
+	public PeerCountChanged(int daemons, int fleet) {
+		this(daemons, daemons, fleet);
 	}
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.rattanhead.core.request.AttemptId;
+
 /**
  * The instances selected for a request, with predicted times and costs.
  *
@@ -27,6 +29,14 @@
 				this.primaryMemoryTokens, this.interferenceCost, newViewAgeMillis, newCandidates);
 	}
 
+	List<Ticket> tickets(AttemptId attempt) {
+		return this.helpers.stream()
+			.filter((helper) -> helper.reservedTokens() > 0)
+			.map((helper) -> new Ticket(helper.ticketName(attempt), attempt, helper.load().instance().id(),
+					helper.load().instance().address(), helper.reservedTokens()))
+			.toList();
+	}
+
 	boolean reserves() {
 		return this.helpers.stream().anyMatch((helper) -> helper.reservedTokens() > 0);
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PublishHeartbeat.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PublishHeartbeat.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 
 /**
@@ -11,7 +12,8 @@
  * @param configurationVersion the configuration version in force, 0 if there is none
  * @param load all work that it has placed
  * @param crashes the requests that recently made instances fail
+ * @param limits the limits that instances have named
  */
-public record PublishHeartbeat(long configurationVersion, List<LoadEntry> load,
-		List<CrashReport> crashes) implements ForwardCommand {
+public record PublishHeartbeat(long configurationVersion, List<LoadEntry> load, List<CrashReport> crashes,
+		List<LimitReport> limits) implements ForwardCommand {
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -6,9 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.LoadEntry;
@@ -16,7 +17,7 @@
 import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.decision.balance.PeerActivity;
 import org.rattanhead.decision.balance.ServiceActivity;
-import org.rattanhead.decision.fairness.WorkspaceShares;
+import org.rattanhead.decision.limit.InstanceTurns;
 import org.rattanhead.decision.notice.InstanceNotices;
 
 /**
@@ -36,6 +37,8 @@
 
 	private final InstanceNotices notices = new InstanceNotices();
 
+	private final InstanceTurns turns;
+
 	private final PeerActivity activity;
 
 	private final int evenLoadFrom;
@@ -51,15 +54,17 @@
 	private long firstUpdateNanos = Long.MAX_VALUE;
 
 	UpstreamFleet() {
-		this("", Integer.MAX_VALUE);
+		this("", Integer.MAX_VALUE, new Random(1));
 	}
 
 	/**
 	 * Creates a fleet.
 	 * @param self the host of this daemon
 	 * @param evenLoadFrom the number of daemons from which load is placed evenly
+	 * @param random the seeded random generator
 	 */
-	UpstreamFleet(String self, int evenLoadFrom) {
+	UpstreamFleet(String self, int evenLoadFrom, RandomGenerator random) {
+		this.turns = new InstanceTurns(random, this::settled);
 		this.activity = new PeerActivity(self);
 		this.evenLoadFrom = evenLoadFrom;
 	}
@@ -78,6 +83,7 @@
 			}
 		}
 		this.instances.keySet().retainAll(ids);
+		this.turns.retain(ids);
 	}
 
 	/**
@@ -122,6 +128,14 @@
 		return this.daemons;
 	}
 
+	InstanceTurns turns() {
+		return this.turns;
+	}
+
+	List<InstanceLoad> all() {
+		return List.copyOf(this.instances.values());
+	}
+
 	Optional<InstanceLoad> find(String id) {
 		return Optional.ofNullable(this.instances.get(id));
 	}
@@ -169,7 +183,7 @@
 	private boolean mayReceive(InstanceLoad load, ServiceLimits service, Set<String> excluded, long nowNanos) {
 		UpstreamInstance instance = load.instance();
 		return instance.service().equals(service.name()) && open(load, nowNanos) && !excluded.contains(instance.id())
-				&& (service.coldPerSecond() <= 0
+				&& this.turns.due(instance, nowNanos) && (service.coldPerSecond() <= 0
 						|| !load.coldLimitReached(service.coldPerSecond() / this.daemons, nowNanos));
 	}
 
@@ -208,21 +222,11 @@
 		return this.notices;
 	}
 
-	/**
-	 * Returns how long all instances of a service that stay want no requests.
-	 * @param service the service
-	 * @param nowNanos the time on the monotonic clock
-	 * @return the time in milliseconds until the first of them accepts work, empty if one
-	 * accepts work or none stays
-	 */
-	OptionalLong quietMillis(ServiceLimits service, long nowNanos) {
-		OptionalLong untilNanos = this.instances.values()
+	List<InstanceLoad> staying(ServiceLimits service) {
+		return this.instances.values()
 			.stream()
 			.filter((load) -> load.instance().service().equals(service.name()) && stays(load))
-			.mapToLong((load) -> this.notices.quietUntilNanos(load.instance()))
-			.min();
-		return (untilNanos.isEmpty() || untilNanos.getAsLong() <= nowNanos) ? OptionalLong.empty()
-				: OptionalLong.of(Math.max(1, Millis.ofNanos(untilNanos.getAsLong() - nowNanos)));
+			.toList();
 	}
 
 	/**
@@ -238,25 +242,14 @@
 		return accepting;
 	}
 
-	/**
-	 * Counts the streams on the instances of a service by workspace.
-	 * @param service the service
-	 * @param shares receives them
-	 */
-	void countStreams(ServiceLimits service, WorkspaceShares shares) {
-		for (InstanceLoad load : this.instances.values()) {
-			if (load.instance().service().equals(service.name())) {
-				load.countStreams(shares);
-			}
-		}
-	}
-
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
 		if (load != null) {
-			load.place(entry, this.activity.isSelf(host), even() ? this.activity.entryAgeMillis(host) : 0, nowNanos)
-				.filter(PlacedLoad::isRequest)
-				.ifPresent((added) -> this.activity.placed(host, load.instance().service(), nowNanos));
+			Optional<PlacedLoad> added = load.place(entry, this.activity.isSelf(host),
+					even() ? this.activity.entryAgeMillis(host) : 0, nowNanos);
+			added.ifPresent((start) -> this.turns.started(load.instance(), nowNanos));
+			added.filter(PlacedLoad::isRequest)
+				.ifPresent((start) -> this.activity.placed(host, load.instance().service(), nowNanos));
 			this.keys.add(host, entry.key(), entry.instance());
 		}
 	}
@@ -276,10 +269,6 @@
 		entries.forEach((entry) -> place(host, entry, nowNanos));
 	}
 
-	List<ReportBalance> balance() {
-		return even() ? BalanceReports.of(this.instances.values()) : List.of();
-	}
-
 	/**
 	 * Removes expired work and finds instances that are overdue.
 	 * @param nowNanos the time on the monotonic clock
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceSimulation.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/BalanceSimulation.java
@@ -85,7 +85,7 @@
 			this.factors.put(instances.get(server).id(), load.factor(server));
 		}
 		for (int gateway = 0; gateway < this.gateways; gateway++) {
-			UpstreamFleet fleet = new UpstreamFleet(host(gateway), 1);
+			UpstreamFleet fleet = new UpstreamFleet(host(gateway), 1, new Random(gateway));
 			fleet.update(instances, 0);
 			fleet.daemons(this.serving + ((gateway < this.serving) ? 0 : 1));
 			fleet.fleetDaemons(this.gateways);
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CrashingFleet.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CrashingFleet.java
@@ -171,7 +171,8 @@
 			this.engineByAttempt.remove(abort.attempt());
 		}
 		else if (command instanceof PublishHeartbeat heartbeat) {
-			sendToOthers(host, new PeerHeartbeatReceived(host, heartbeat.load(), heartbeat.crashes()));
+			sendToOthers(host,
+					new PeerHeartbeatReceived(host, heartbeat.load(), heartbeat.crashes(), heartbeat.limits()));
 		}
 		else if (command instanceof StoreSuspect suspect) {
 			store(suspect.suspect());
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankedFleet.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RankedFleet.java
@@ -154,7 +154,8 @@
 			handle(gateway, new TicketReplied(reserve.ticket(), TicketOutcome.GRANTED));
 		}
 		else if (command instanceof PublishHeartbeat heartbeat) {
-			sendToOthers(gateway, new PeerHeartbeatReceived(host, exchanged(heartbeat.load()), heartbeat.crashes()));
+			sendToOthers(gateway, new PeerHeartbeatReceived(host, exchanged(heartbeat.load()), heartbeat.crashes(),
+					heartbeat.limits()));
 		}
 		else if (command instanceof PublishLoadStarted started) {
 			sendToOthers(gateway, new PeerLoadStarted(host, exchanged(started.entries())));
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
@@ -12,6 +13,7 @@
 import org.rattanhead.messages.MeshBeat;
 import org.rattanhead.messages.MeshCrashes;
 import org.rattanhead.messages.MeshDatagram;
+import org.rattanhead.messages.MeshLimits;
 import org.rattanhead.messages.MeshLoad;
 import org.rattanhead.messages.MeshLoadEnded;
 import org.rattanhead.messages.MeshLoadStarted;
@@ -45,6 +47,7 @@
 			.setConfigurationVersion(heartbeat.configurationVersion());
 		heartbeat.load().forEach((entry) -> builder.addLoad(encode(entry)));
 		heartbeat.crashes().forEach((report) -> builder.addCrashes(CrashReportCodec.encode(report)));
+		builder.addAllLimits(LimitReportCodec.encode(heartbeat.limits()));
 		heartbeat.servingMembers().forEach((member) -> builder.addNamed(encode(member)));
 		return MeshDatagram.newBuilder().setHost(host).setBeat(builder).build();
 	}
@@ -105,6 +108,19 @@
 			.build();
 	}
 
+	/**
+	 * Encodes the limits that instances named, or that ended.
+	 * @param host the host of the sender
+	 * @param reports the reports
+	 * @return the datagram
+	 */
+	public static MeshDatagram encodeLimits(String host, List<LimitReport> reports) {
+		return MeshDatagram.newBuilder()
+			.setHost(host)
+			.setLimits(MeshLimits.newBuilder().addAllLimits(LimitReportCodec.encode(reports)))
+			.build();
+	}
+
 	/**
 	 * Decodes a datagram and passes it to the listener. A datagram without a known body
 	 * is dropped, since a later version may have sent it.
@@ -121,6 +137,7 @@
 				listener.onLoadEnded(datagram.getHost(), List.copyOf(datagram.getLoadEnded().getKeysList()));
 			case CRASHES -> listener.onCrashes(CrashReportCodec.decode(datagram.getCrashes().getCrashesList()));
 			case NOTICE -> deliver(datagram.getNotice(), listener);
+			case LIMITS -> listener.onLimits(LimitReportCodec.decode(datagram.getLimits().getLimitsList()));
 			case STREAM_NEWS -> StreamMessageCodec.deliver(datagram.getHost(), datagram.getStreamNews(), listener);
 			default -> {
 				// Body of a later version.
@@ -139,7 +156,8 @@
 		return new MemberHeartbeat(member, message.getReady(), message.getServing(), message.getConfigurationVersion(),
 				message.getLoadList().stream().map(MeshCodec::decode).toList(),
 				CrashReportCodec.decode(message.getCrashesList()),
-				message.getNamedList().stream().map(MeshCodec::decode).toList());
+				message.getNamedList().stream().map(MeshCodec::decode).toList(),
+				LimitReportCodec.decode(message.getLimitsList()));
 	}
 
 	private static MeshMember encode(Member member) {
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshListener.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.MemberHeartbeat;
 import org.rattanhead.core.forward.ServerNotice;
@@ -49,6 +50,12 @@
 	 */
 	void onNotice(String instance, long incarnation, ServerNotice notice);
 
+	/**
+	 * Another daemon sent the limits that instances named, or that ended.
+	 * @param reports the reports
+	 */
+	void onLimits(List<LimitReport> reports);
+
 	/**
 	 * Another daemon read a stream of the platform to its end.
 	 * @param host the host name of the sending daemon
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -23,6 +23,7 @@
 import org.apache.logging.log4j.Logger;
 
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
@@ -119,6 +120,15 @@
 		send(receivers, MeshCodec.encodeNotice(this.self, instance, incarnation, notice));
 	}
 
+	/**
+	 * Sends the limits that instances named, or that ended.
+	 * @param receivers the daemons to send them to
+	 * @param reports the reports
+	 */
+	public void sendLimits(List<Member> receivers, List<LimitReport> reports) {
+		send(receivers, MeshCodec.encodeLimits(this.self, reports));
+	}
+
 	/**
 	 * Sends the crashes and answers of suspects.
 	 * @param receivers the daemons to send them to
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
@@ -20,6 +21,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.forward.CrashReport;
+import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.forward.MemberHeartbeat;
@@ -68,6 +70,11 @@
 			MeshNetworkTests.this.received.add(List.of(instance, incarnation, notice));
 		}
 
+		@Override
+		public void onLimits(List<LimitReport> reports) {
+			MeshNetworkTests.this.received.add(reports);
+		}
+
 		@Override
 		public void onStreamUpdate(String host, StreamUpdate update) {
 			MeshNetworkTests.this.received.add(update);
@@ -90,7 +97,7 @@
 		InetSocketAddress address = freeAddress();
 		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
 		MemberHeartbeat heartbeat = new MemberHeartbeat(member, true, true, 7, load(entries), crashes(entries),
-				List.of(member));
+				List.of(member), limits(entries));
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendHeartbeat(List.of(member), heartbeat);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(heartbeat);
@@ -108,6 +115,24 @@
 		}
 	}
 
+	@ParameterizedTest(name = "{0} reports")
+	@ValueSource(ints = { 0, 1, 32 })
+	void deliversLimits(int reports) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.sendLimits(List.of(member), limits(reports));
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(limits(reports));
+		}
+	}
+
+	private static List<LimitReport> limits(int count) {
+		return IntStream.range(0, count)
+			.mapToObj((index) -> new LimitReport("i-" + index, 1_796_481_790_273L,
+					(index % 2 == 0) ? OptionalDouble.of(1.4 * index) : OptionalDouble.empty(), index))
+			.toList();
+	}
+
 	@ParameterizedTest(name = "{0}, leaving: {2}, quiet for {3} ms")
 	@CsvSource({ "i-1, 7, true, 0", "i-1, 0, false, 700", "i-2, 1796481790273, true, 20000" })
 	void deliversNotice(String instance, long incarnation, boolean leaving, long quietMillis) throws Exception {
