--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -7,7 +7,6 @@
 import java.util.random.RandomGenerator;
 
 import org.rattanhead.core.HandlerTable;
-import org.rattanhead.core.forward.Configuration;
 import org.rattanhead.core.forward.ForwardRequest;
 import org.rattanhead.core.forward.LoadEntry;
 import org.rattanhead.core.problem.ProblemException;
@@ -42,6 +41,8 @@
 
 	private final NoticeRules notices;
 
+	private final LimitRules limits;
+
 	private boolean draining;
 
 	/**
@@ -59,8 +60,9 @@
 		this.faults = new RuleFaults(this.state, this.dispatcher);
 		this.crashes = new CrashRules(this.state, this.attempts, this.faults);
 		this.notices = new NoticeRules(this.state);
+		this.limits = new LimitRules(this.state);
 		registerRequests();
-		registerFleet();
+		new FleetEvents(this.state, this.notices, this.limits).register(this.events);
 		this.events.covering(ForwardEvent.class);
 	}
 
@@ -74,6 +76,7 @@
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
 		this.faults.confine(commands, () -> this.crashes.applyChanges(nowNanos, commands));
 		commands.removeIf((command) -> !this.notices.permits(command, nowNanos));
+		this.limits.countOrders(commands, nowNanos);
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
 		}
@@ -93,9 +96,10 @@
 			.on(ForwardCallerDisconnected.class,
 					(event, now) -> apply(this.state.find(event.request()), now,
 							(forwarding, commands) -> this.attempts.callerDisconnected(forwarding, now, commands)))
-			.on(AttemptAnswered.class,
-					(event, now) -> current(event.attempt(), now,
-							(forwarding, commands) -> this.attempts.answered(forwarding, event.head(), now, commands)))
+			.on(AttemptAnswered.class, (event, now) -> current(event.attempt(), now, (forwarding, commands) -> {
+				this.limits.answered(forwarding, event.head(), now, commands);
+				this.attempts.answered(forwarding, event.head(), now, commands);
+			}))
 			.on(AttemptContinued.class, (event, now) -> current(event.attempt(), now,
 					(forwarding, commands) -> this.attempts.continued(forwarding, event.bytes(), now, commands)))
 			.on(AttemptFinished.class,
@@ -112,43 +116,19 @@
 			.on(ForwardTick.class, (event, now) -> tick(now))
 			.on(HeartbeatDue.class, (event, now) -> {
 				List<ForwardCommand> commands = new ArrayList<>(List.of(heartbeat(now)));
-				commands.addAll(this.state.fleet().balance());
+				if (this.state.fleet().even()) {
+					commands.addAll(BalanceReports.of(this.state.fleet().all()));
+				}
 				return commands;
 			})
-			.on(ShutdownStarted.class, (event, now) -> changed(() -> this.state.shutdown(event.endNanos())))
+			.on(ShutdownStarted.class, (event, now) -> {
+				this.state.shutdown(event.endNanos());
+				return List.of();
+			})
 			.on(ForwardDraining.class, (event, now) -> drain(event))
 			.on(GraceEnded.class, (event, now) -> graceEnded(now));
 	}
 
-	private void registerFleet() {
-		UpstreamFleet fleet = this.state.fleet();
-		this.events.on(ConfigurationApplied.class, (event, now) -> configure(event.configuration()))
-			.on(InstancesChanged.class, (event, now) -> changed(() -> fleet.update(event.instances(), now)))
-			.on(InstanceNoticed.class, this.notices::noticed)
-			.on(PeerNoticeReceived.class, this.notices::receivedFromPeer)
-			.on(DomainsEvacuated.class, (event, now) -> changed(() -> fleet.evacuate(event.domains())))
-			.on(PeerLoadStarted.class,
-					(event, now) -> messageReceived(event.host(), now,
-							() -> event.entries().forEach((entry) -> fleet.place(event.host(), entry, now))))
-			.on(PeerLoadEnded.class,
-					(event, now) -> messageReceived(event.host(), now,
-							() -> event.keys().forEach((key) -> fleet.remove(event.host(), key, now))))
-			.on(PeerHeartbeatReceived.class, (event, now) -> messageReceived(event.host(), now, () -> {
-				fleet.replace(event.host(), event.load(), now);
-				this.state.suspects().receive(event.crashes(), now);
-			}))
-			.on(PeerCrashesReceived.class,
-					(event, now) -> changed(() -> this.state.suspects().receive(event.reports(), now)))
-			.on(StoredSuspectsChanged.class, (event, now) -> changed(() -> storedSuspectsChanged(event, now)))
-			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.lost(event.host(), now)))
-			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
-				fleet.daemons(event.daemons());
-				fleet.fleetDaemons(event.fleet());
-				this.state.fleetDaemons(event.fleet());
-				this.state.budget().daemons(event.daemons());
-			}));
-	}
-
 	private List<ForwardCommand> submit(ForwardRequest request, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		try {
@@ -251,18 +231,8 @@
 	private PublishHeartbeat heartbeat(long nowNanos) {
 		long version = this.state.routes().map((routes) -> routes.configuration().version()).orElse(0L);
 		List<LoadEntry> load = this.state.all().stream().flatMap((forwarding) -> forwarding.load().stream()).toList();
-		return new PublishHeartbeat(version, load, this.state.suspects().reports(nowNanos));
-	}
-
-	private List<ForwardCommand> configure(Configuration configuration) {
-		long before = this.state.routes().map((routes) -> routes.configuration().version()).orElse(Long.MIN_VALUE);
-		boolean newer = configuration.version() > before;
-		if (newer) {
-			this.state.routes(new RouteTable(configuration));
-		}
-		return List.of(new LogDecision("configuration", "", "", "", newer ? "in force" : "ignored as older",
-				List.of(DecisionInput.of("version", configuration.version()),
-						DecisionInput.of("routes", configuration.routes().size()))));
+		return new PublishHeartbeat(version, load, this.state.suspects().reports(nowNanos),
+				this.limits.reports(nowNanos));
 	}
 
 	private List<ForwardCommand> drain(ForwardDraining event) {
@@ -283,20 +253,4 @@
 		return commands;
 	}
 
-	private void storedSuspectsChanged(StoredSuspectsChanged event, long nowNanos) {
-		this.state.storedSuspects().removeAll(event.deleted());
-		this.state.storedSuspects().addAll(event.stored());
-		this.state.suspects().restore(event.stored(), nowNanos);
-	}
-
-	private List<ForwardCommand> messageReceived(String host, long nowNanos, Runnable change) {
-		this.state.fleet().activity().messageReceived(host, nowNanos);
-		return changed(change);
-	}
-
-	private static List<ForwardCommand> changed(Runnable change) {
-		change.run();
-		return List.of();
-	}
-
 }
