--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -80,7 +80,7 @@
 	boolean open(HttpServerExchange exchange) {
 		this.exchanges.openResponse(exchange);
 		if (this.refusing) {
-			RefusalSender.send(exchange, this.codec.refuse(SHUTTING_DOWN));
+			RefusalSender.send(exchange, encode(SHUTTING_DOWN));
 			return false;
 		}
 		return true;
--- a/rattanhead-http/src/test/java/org/rattanhead/http/forward/FailingCodecTests.java
+++ b/rattanhead-http/src/test/java/org/rattanhead/http/forward/FailingCodecTests.java
@@ -45,7 +45,7 @@
 				send(socket, "body");
 				assertThat(readHead(socket)).startsWith(STATUS_LINE).contains("Content-Length: 0\r\n");
 			}
-			assertThat(frontEnd.awaitWritten(ANSWER_TIMEOUT_MILLIS)).isTrue();
+			assertThat(frontEnd.finish(ANSWER_TIMEOUT_MILLIS)).isTrue();
 		}
 	}
 
