Limit heads of requests by their size only

What callers saw: proper requests with more than 200 header fields or 1,000 query parameters were answered with 400 and their kept connection was closed, although the operators' limit is one of bytes.

Cause: Undertow's defaults for the numbers of fields and parameters.

Evidence, ManyFieldsTests before this change: Tests run: 5, Failures: 4, Errors: 0 Expecting actual: "HTTP/1.1 400 Bad Request" to start with "HTTP/1.1 200"

Change: both numbers are bounded by the size of the head, which Undertow still limits.

Result: ManyFieldsTests 5 of 5 pass.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -53,6 +53,9 @@
 			.setBufferSize(BUFFER_BYTES)
 			.setSocketOption(org.xnio.Options.BACKLOG, LISTEN_BACKLOG)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes())
+			// The size of the head bounds the numbers of its parts.
+			.setServerOption(UndertowOptions.MAX_HEADERS, settings.maxHeaderBytes())
+			.setServerOption(UndertowOptions.MAX_PARAMETERS, settings.maxHeaderBytes())
 			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes())
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) settings.headerTimeoutMillis())
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, (int) settings.idleTimeoutMillis())
