Close the listeners before the connections

Callers that connected while a gateway stopped were reset: the listeners still accepted when the I/O thread had ended. The log of each such stop had errors of the server (RejectedExecutionException, ClosedChannelException).

Cause: ForwardFrontEnd.close left the order to Undertow, which ends its own threads right after it has closed the listeners. Connections that wait for the I/O thread, and requests that are on their way on open connections, ended with it.

Evidence: SignalLoadTests checks the log for RejectedExecutionException.

Change: the worker is the front end's own, so that the listeners can be closed alone (stopAccepting). New callers are then refused by the system at once, and whatever arrives on open connections within 50 ms still gets its refusal. A connection that waits in the backlog when the listeners are closed is still reset; its request is never read.

ShutdownEndTests.refusesRequestAfterLastCheck also checks this state. Its row of a connection that has not been kept now makes sure that the connection has been accepted; before, it relied on the listeners being open.

The listeners stay open until drain has returned, as GatewayEndToEndTests demands.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -73,6 +73,9 @@
 	/** The part of the margin in which the last responses are written. */
 	private static final long FINAL_REPLIES_MILLIS = 300;
 
+	/** The part of the margin in which requests that are on their way are refused. */
+	private static final long LAST_REFUSALS_MILLIS = 50;
+
 	private static final int MAX_HEADER_BYTES = 32 * 1024;
 
 	private static final long MAX_BODY_BYTES = 16L * 1024 * 1024;
@@ -236,8 +239,19 @@
 		return this.resources.own(resource);
 	}
 
+	/**
+	 * Closes the listeners first, so that requests that are on their way on open
+	 * connections are still refused.
+	 */
 	@Override
 	public void close() {
+		this.frontEnd.stopAccepting();
+		try {
+			TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		this.resources.close();
 	}
 
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/ShutdownEndTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/ShutdownEndTests.java
@@ -1,6 +1,7 @@
 package org.rattanhead.daemon.gateway;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
@@ -24,6 +25,7 @@
 import org.rattanhead.http.forward.ServedPage;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
  * Requests that arrive while a gateway ends its shutdown.
@@ -74,7 +76,7 @@
 
 	/**
 	 * Guards against LOST: a request that is read after the last check for open requests,
-	 * and of which nobody is to answer.
+	 * and connections that are accepted while the server stops, and reset.
 	 */
 	@ParameterizedTest(name = "{0} {1}, kept connection: {2}")
 	@CsvSource({ "GET, '', false", "GET, '', true", "POST, body, false", "POST, body, true" })
@@ -83,11 +85,15 @@
 		ServedPage page = new ServedPage(address, "/page", () -> new PageContent(200, "text/plain", Payload.of("x")));
 		try (ForwardFrontEnd frontEnd = new ForwardFrontEnd("a",
 				new ForwardSettings(address, 8_192, 8_192, 3_000, 3_000, 3_000), new CallerCodec(),
-				(event, urgency) -> true, List.of(page)); RawCaller caller = new RawCaller(address)) {
-			if (kept) {
-				assertThat(caller.send(RawCaller.request("GET", "/page", "a0", "")).answer()).endsWith("x");
-			}
+				(event, urgency) -> true, List.of(page));
+				RawCaller caller = new RawCaller(address);
+				RawCaller other = new RawCaller(address)) {
+			// Connections are accepted in order, so the caller's is open afterwards.
+			assertThat((kept ? caller : other).send(RawCaller.request("GET", "/page", "a0", "")).answer())
+				.endsWith("x");
 			assertThat(frontEnd.finish(1_000)).isTrue();
+			frontEnd.stopAccepting();
+			assertThatExceptionOfType(ConnectException.class).isThrownBy(() -> new RawCaller(address));
 			assertThat(caller.send(RawCaller.request(method, "/look/a", "a1", body)).answer())
 				.startsWith("HTTP/1.1 503")
 				.contains("Connection: close");
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/SignalLoadTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/SignalLoadTests.java
@@ -74,7 +74,7 @@
 			CompletableFuture.allOf(callers.toArray(CompletableFuture[]::new)).get(10, TimeUnit.SECONDS);
 			assertThat(exited).isTrue();
 			assertThat(process.log()).contains("every request has ended")
-				.doesNotContain("Exception in thread", "log-limit");
+				.doesNotContain("Exception in thread", "log-limit", "RejectedExecutionException");
 			String log = process.log();
 			assertThat(this.unanswered).noneMatch((attempt) -> log.contains(attempt)
 					|| instance.requests().stream().anyMatch((request) -> request.target().endsWith(attempt)));
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -12,10 +12,12 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
+import org.xnio.XnioWorker;
 
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.http.internal.ForwardHandler;
 import org.rattanhead.http.internal.ForwardRegistry;
+import org.rattanhead.http.internal.HttpWorkers;
 import org.rattanhead.http.internal.PageSender;
 import org.rattanhead.ring.EventSink;
 
@@ -29,6 +31,9 @@
 
 	private static final int LISTEN_BACKLOG = 512;
 
+	/** Not the server's own, so that connections outlive the listeners. */
+	private final XnioWorker worker = HttpWorkers.create();
+
 	private final Undertow server;
 
 	private final ForwardRegistry registry;
@@ -46,8 +51,7 @@
 		this.registry = new ForwardRegistry(codec, decisions);
 		HttpHandler forwardHandler = new ForwardHandler(daemonName, settings, codec, decisions, this.registry);
 		Undertow.Builder builder = Undertow.builder()
-			.setIoThreads(1)
-			.setWorkerThreads(1)
+			.setWorker(this.worker)
 			.setBufferSize(BUFFER_BYTES)
 			.setSocketOption(org.xnio.Options.BACKLOG, LISTEN_BACKLOG)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes())
@@ -86,6 +90,13 @@
 		return this.registry.finish(timeoutMillis);
 	}
 
+	/**
+	 * Closes the listeners. Connections that are open stay in use.
+	 */
+	public void stopAccepting() {
+		this.server.stop();
+	}
+
 	private static HttpHandler routeByPort(InetSocketAddress callerAddress, HttpHandler forwardHandler,
 			List<ServedPage> pages) {
 		Map<Integer, Map<String, ServedPage>> pagesByPort = new HashMap<>();
@@ -114,6 +125,7 @@
 	@Override
 	public void close() {
 		this.server.stop();
+		HttpWorkers.shutDown(this.worker);
 	}
 
 }
