Keep the threads of duties and timers after an error

Cause: a duty and a ticker catch only RuntimeException. For an OutOfMemoryError the processor of the ring ends its thread ("Exception in thread "forward" java.lang.OutOfMemoryError" in the log of a gateway with 400 unfinished answers and a heap of 96 MB), and the executor of the ticker never runs a periodic action again.

Evidence, DutyTests before the change, 4 of 13 rows: DutyTests.continuesAfterError:87 (OutOfMemoryError, StackOverflowError) DutyTests.repeatsPeriodicActionAfterError:103 (both)

The event that failed is lost, as with an exception; the memory it used is free again when it is dropped.

Result: all 13 rows pass.

--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Duty.java
@@ -7,8 +7,6 @@
 import com.lmax.disruptor.BatchEventProcessorBuilder;
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.RingBuffer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * A consumer thread with a bounded ring buffer. Any thread may offer events; the thread
@@ -19,8 +17,6 @@
  */
 public final class Duty<E> implements EventSink<E>, AutoCloseable {
 
-	private static final Logger LOGGER = LogManager.getLogger(Duty.class);
-
 	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
 	private final String name;
@@ -113,8 +109,10 @@
 		try {
 			handler.handle(slot.take(), clock.getAsLong());
 		}
-		catch (RuntimeException ex) {
-			LOGGER.error("ring: duty {} failed to handle an event; continuing with the next one", this.name, ex);
+		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+			// The processor would end its thread, and nobody would handle the events.
+			FailureLog.write("ring: duty " + this.name + " failed to handle an event; continuing with the next one",
+					ex);
 		}
 	}
 
--- a/rattanhead-ring/src/main/java/org/rattanhead/ring/Ticker.java
+++ b/rattanhead-ring/src/main/java/org/rattanhead/ring/Ticker.java
@@ -3,17 +3,12 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-
 /**
  * A timer thread that runs short actions once or periodically. Duties use it to receive
  * tick events.
  */
 public final class Ticker implements AutoCloseable {
 
-	private static final Logger LOGGER = LogManager.getLogger(Ticker.class);
-
 	private final ScheduledThreadPoolExecutor executor;
 
 	/**
@@ -58,8 +53,9 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException ex) {
-			LOGGER.error("ring: scheduled action failed; a periodic action runs again after its delay", ex);
+		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+			// The executor would never run a periodic action again.
+			FailureLog.write("ring: scheduled action failed; a periodic action runs again after its delay", ex);
 		}
 	}
 
--- a/rattanhead-ring/src/test/java/org/rattanhead/ring/DutyTests.java
+++ b/rattanhead-ring/src/test/java/org/rattanhead/ring/DutyTests.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -65,6 +67,47 @@
 		assertThat(handled).containsExactly(2);
 	}
 
+	/**
+	 * Guards against LOST: one event for which there was no memory ended the thread of
+	 * its duty, and the process answered nobody from then on.
+	 */
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("errors")
+	void continuesAfterError(Error error) {
+		List<Integer> handled = new CopyOnWriteArrayList<>();
+		try (Duty<Integer> duty = new Duty<>("test", CAPACITY, System::nanoTime, (event, now) -> {
+			if (event == 1) {
+				throw error;
+			}
+			handled.add(event);
+		})) {
+			duty.offer(1, Urgency.CONTROL);
+			duty.offer(2, Urgency.CONTROL);
+		}
+		assertThat(handled).containsExactly(2);
+	}
+
+	/**
+	 * Guards against LOST: a periodic action, such as the heartbeat, that never ran again
+	 * after there was no memory for one run.
+	 */
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("errors")
+	void repeatsPeriodicActionAfterError(Error error) throws InterruptedException {
+		CountDownLatch runs = new CountDownLatch(3);
+		try (Ticker ticker = new Ticker("test")) {
+			ticker.every(1, () -> {
+				runs.countDown();
+				throw error;
+			});
+			assertThat(runs.await(10, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+	private static Stream<Error> errors() {
+		return Stream.of(new OutOfMemoryError("expected by the test"), new StackOverflowError("expected by the test"));
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await(10, TimeUnit.SECONDS);
