Bound the memory of the unfinished answers of all requests

What callers saw: while a faulty server had answers open that were complete at no point, no request on any route was answered.

Cause: every answer had its own bounds (a window of 256 KiB, 256 KiB of a plain answer before it begins, 256 KiB of an event), and no bound held over all of them. 300 to 400 requests at once held more than the heap.

In a trial with 400 answers the log had: Exception in thread "forward" java.lang.OutOfMemoryError.

Change: ReplyMemory counts what all requests hold. Above an eighth of the heap a plain answer begins after 16 KiB instead of 256 KiB, so that its caller's pace bounds it, and an unfinished event counts as oversized from 16 KiB; its attempt ends and the request is answered by another instance or with 502. Shorter answers are relayed as before. An attempt receives 32 KiB before the first grant instead of 256 KiB, which bounds what waits in the ring and for callers that do not read; written bytes are reported from 8 KiB, so that a blocked answer goes on.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -82,6 +82,9 @@
 
 	private static final long IDLE_TIMEOUT_MILLIS = 20_000;
 
+	/** Buffers have up to twice the size of their content. */
+	private static final int REPLIES_HEAP_DIVISOR = 8;
+
 	private static final int OK = 200;
 
 	private static final int MILLICORES_PER_CORE = 1_000;
@@ -122,7 +125,8 @@
 				hostAndPort(settings.meshAddress()), (int) Math.round(MILLICORES_PER_CORE * settings.processorCores()));
 		this.status = new GatewayStatus(this.self);
 		this.ticker = own(new Ticker("ticker"));
-		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), new Random());
+		long replyBytes = Runtime.getRuntime().maxMemory() / REPLIES_HEAP_DIVISOR;
+		ForwardDecider decider = new ForwardDecider(settings.host(), settings.limits(), replyBytes, new Random());
 		this.decisions = own(new Duty<>("forward", RING_SLOTS, System::nanoTime, (event, now) -> {
 			decider.decide(event, now).forEach((command) -> this.router.join().route(command, now));
 			if (decider.busy()) {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessBody.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessBody.java
@@ -17,7 +17,14 @@
 	TINY_EVENTS("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", "7\r\ndata:\n\n\r\n", 2_000),
 
 	/** Neither a length nor chunks. */
-	NO_FRAMING("", "x", 16_384);
+	NO_FRAMING("", "x", 16_384),
+
+	/** One event that is complete at no point; its instance goes silent. */
+	UNFINISHED_EVENT("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+			"4000\r\n" + "x".repeat(16_384) + "\r\n", 15),
+
+	/** A part of a body with a length; its instance goes silent. */
+	UNFINISHED_LENGTH("Content-Length: 999999999\r\n", "x".repeat(16_000), 15);
 
 	private final String fields;
 
@@ -35,6 +42,14 @@
 		return this.fields;
 	}
 
+	/**
+	 * Returns whether the block is sent once, followed by nothing.
+	 * @return false if it is repeated
+	 */
+	boolean silent() {
+		return this == UNFINISHED_EVENT || this == UNFINISHED_LENGTH;
+	}
+
 	byte[] block() {
 		return this.repeated.repeat(this.count).getBytes(StandardCharsets.US_ASCII);
 	}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessBodyTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessBodyTests.java
@@ -22,6 +22,8 @@
 
 	private static final int CALLERS = 12;
 
+	private static final int MANY_CALLERS = 300;
+
 	private static final String ROUTE = ",{'Host':'h','PathPrefix':'/endless/','Kind':'streaming','TimeoutMs':4000,"
 			+ "'TargetLatencyMs':300,'MaxAttempts':1,'Service':'t','Resumable':false,'TargetGapMs':250}";
 
@@ -33,10 +35,25 @@
 			"TINY_EVENTS, true", "TINY_EVENTS, false", "NO_FRAMING, true", "NO_FRAMING, false" })
 	void answersOtherServiceBesideBodiesWithoutEnd(EndlessBody body, boolean callerReads, @TempDir Path folder)
 			throws Exception {
+		answersOtherService(body, callerReads, CALLERS, folder);
+	}
+
+	/**
+	 * Guards against LOST: many answers at once that are complete at no point and
+	 * together exceed the memory of the gateway.
+	 */
+	@ParameterizedTest(name = "{0}")
+	@CsvSource({ "UNFINISHED_EVENT", "UNFINISHED_LENGTH" })
+	void answersOtherServiceBesideManyUnfinishedBodies(EndlessBody body, @TempDir Path folder) throws Exception {
+		answersOtherService(body, false, MANY_CALLERS, folder);
+	}
+
+	private static void answersOtherService(EndlessBody body, boolean callerReads, int count, Path folder)
+			throws Exception {
 		List<EndlessCaller> callers = new ArrayList<>();
 		try (StoreStandin store = new StoreStandin();
 				RawServer sound = new RawServer(Lookups::answer);
-				EndlessInstance endless = new EndlessInstance(body.fields(), body.block())) {
+				EndlessInstance endless = new EndlessInstance(body)) {
 			GatewayRig.configure(store, 1, ROUTE);
 			GatewayRig.register(store, 0, sound.address(), "ready");
 			store.put(GatewayRig.INSTANCES, "t-0",
@@ -48,10 +65,10 @@
 						.replace('\'', '"'));
 			try (GatewayProcess gateway = new GatewayProcess(folder, "self", store.server().address())) {
 				Lookups.awaitFirst(gateway);
-				for (int index = 0; index < CALLERS; index++) {
+				for (int index = 0; index < count; index++) {
 					callers.add(new EndlessCaller(gateway.callersAddress(), "e" + index, callerReads));
 				}
-				GatewayRig.await(() -> endless.sending() > CALLERS / 2);
+				GatewayRig.await(() -> endless.sending() > count / 2);
 				Lookups.assertAnswered(gateway);
 				assertThat(gateway.log()).doesNotContain("OutOfMemoryError");
 			}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessInstance.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/EndlessInstance.java
@@ -19,7 +19,7 @@
  */
 final class EndlessInstance implements AutoCloseable {
 
-	private final ServerSocket listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+	private final ServerSocket listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
@@ -29,9 +29,12 @@
 
 	private final byte[] block;
 
-	EndlessInstance(String fields, byte[] block) throws IOException {
-		this.fields = fields;
-		this.block = block.clone();
+	private final boolean silent;
+
+	EndlessInstance(EndlessBody body) throws IOException {
+		this.fields = body.fields();
+		this.block = body.block();
+		this.silent = body.silent();
 		start(this::accept);
 	}
 
@@ -75,9 +78,10 @@
 				.getBytes(StandardCharsets.ISO_8859_1));
 			this.endless.incrementAndGet();
 			counted = true;
-			while (true) {
+			do {
 				out.write(this.block);
 			}
+			while (!this.silent || in.read() >= 0);
 		}
 		catch (IOException ex) {
 			// The caller or close() closed the connection.
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -85,8 +85,8 @@
 		}
 		else if (forwarding.relay().eventOversized()) {
 			commands.add(new AbortAttempt(forwarding.attempt()));
-			attemptFailed(forwarding, AttemptFault.BROKEN, "an event exceeds the bound of its size", nowNanos,
-					commands);
+			attemptFailed(forwarding, AttemptFault.BROKEN, "an event exceeds the bound of its size; check the instance",
+					nowNanos, commands);
 			return;
 		}
 		forwarding.relay().flow().grant(forwarding.attempt(), commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EventSplitter.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/EventSplitter.java
@@ -13,9 +13,6 @@
 
 	private static final String ID_FIELD = "id:";
 
-	/** An event that exceeds this is taken for bytes without end. */
-	private static final int MAX_EVENT_BYTES = 256 * 1024;
-
 	private final PayloadBuffer remainder = new PayloadBuffer();
 
 	private String lastId;
@@ -37,8 +34,12 @@
 		return Optional.of(events);
 	}
 
-	boolean oversized() {
-		return this.remainder.length() > MAX_EVENT_BYTES;
+	/**
+	 * Returns the length of the event that is not complete.
+	 * @return the number of bytes
+	 */
+	int remainingBytes() {
+		return this.remainder.length();
 	}
 
 	boolean insideEvent() {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -48,7 +48,19 @@
 	 * @param random the seeded random generator
 	 */
 	public ForwardDecider(String self, ForwardLimits limits, RandomGenerator random) {
-		this.state = new ForwardState(self, limits, random);
+		this(self, limits, Long.MAX_VALUE, random);
+	}
+
+	/**
+	 * Creates the decider of one daemon with a bound on the answers that it holds.
+	 * @param self the name of its host
+	 * @param limits the limits that all daemons share
+	 * @param maxReplyBytes the bytes of unfinished answers from which less of each is
+	 * held
+	 * @param random the seeded random generator
+	 */
+	public ForwardDecider(String self, ForwardLimits limits, long maxReplyBytes, RandomGenerator random) {
+		this.state = new ForwardState(self, limits, maxReplyBytes, random);
 		this.admission = new ForwardAdmission(this.state);
 		this.sharing = new FairSharing(this.state);
 		this.dispatcher = new Dispatcher(this.state, this.sharing);
@@ -179,10 +191,9 @@
 	private List<ForwardCommand> written(ReplyWritten event) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		this.state.find(event.request()).ifPresent((forwarding) -> {
-			ReplyFlow flow = forwarding.relay().flow();
-			flow.written(event.bytes());
+			forwarding.relay().written(event.bytes());
 			if (forwarding.stage() == ForwardStage.ANSWERING) {
-				flow.grant(forwarding.attempt(), commands);
+				forwarding.relay().flow().grant(forwarding.attempt(), commands);
 			}
 		});
 		return commands;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -33,6 +33,8 @@
 
 	private final TicketRegistry tickets;
 
+	private final ReplyMemory replyMemory;
+
 	private final Map<RequestId, Forwarding> requests = new LinkedHashMap<>();
 
 	private RouteTable routes;
@@ -45,7 +47,8 @@
 
 	private OptionalLong shutdownNanos = OptionalLong.empty();
 
-	ForwardState(String self, ForwardLimits limits, RandomGenerator random) {
+	ForwardState(String self, ForwardLimits limits, long maxReplyBytes, RandomGenerator random) {
+		this.replyMemory = new ReplyMemory(maxReplyBytes);
 		this.self = self;
 		this.random = random;
 		this.fleet = new UpstreamFleet(self, limits.evenLoadFrom());
@@ -143,10 +146,12 @@
 
 	void add(Forwarding forwarding) {
 		this.requests.put(forwarding.request().id(), forwarding);
+		forwarding.relay().countIn(this.replyMemory);
 	}
 
 	void remove(Forwarding forwarding) {
 		this.requests.remove(forwarding.request().id());
+		forwarding.relay().release();
 	}
 
 	List<Forwarding> all() {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/GrantBytes.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/GrantBytes.java
@@ -11,6 +11,6 @@
 public record GrantBytes(AttemptId attempt, long bytes) implements ForwardCommand {
 
 	/** How much of an answer an attempt receives before the first grant, in bytes. */
-	public static final long WINDOW_BYTES = 256 * 1024;
+	public static final long WINDOW_BYTES = 32 * 1024;
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyFlow.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyFlow.java
@@ -52,6 +52,10 @@
 		this.unwrittenBytes -= bytes;
 	}
 
+	long unwrittenBytes() {
+		return this.unwrittenBytes;
+	}
+
 	/**
 	 * Returns whether the caller takes its reply so slowly that the instance is not read.
 	 * @return true if it is not read
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyRelay.java
@@ -18,6 +18,9 @@
 	/** A plain response above this size is relayed without buffering. */
 	private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+	/** An event that exceeds this is taken for bytes without end. */
+	private static final int MAX_EVENT_BYTES = 256 * 1024;
+
 	private static final long UNKNOWN_LENGTH = -1;
 
 	private final RequestId request;
@@ -28,6 +31,10 @@
 
 	private final PayloadBuffer buffered = new PayloadBuffer();
 
+	private ReplyMemory memory = new ReplyMemory(Long.MAX_VALUE);
+
+	private long countedBytes;
+
 	private AnswerHead head;
 
 	private boolean started;
@@ -38,6 +45,22 @@
 		this.request = request;
 	}
 
+	/**
+	 * Counts the bytes that this relay holds from now on.
+	 * @param shared the memory of all replies
+	 */
+	void countIn(ReplyMemory shared) {
+		this.memory = shared;
+	}
+
+	/**
+	 * Ends the counting, since the request has ended.
+	 */
+	void release() {
+		count(0);
+		this.memory = new ReplyMemory(Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns whether a part of the reply was sent to the caller.
 	 * @return true if it was
@@ -62,6 +85,7 @@
 		this.buffered.clear();
 		this.flow.attemptBegan();
 		this.splitter.discardRemainder();
+		countHeld();
 		if (!this.started) {
 			this.head = newHead;
 			this.streamed = newHead.streamed();
@@ -77,6 +101,12 @@
 	 */
 	boolean receive(Payload bytes, List<ForwardCommand> commands) {
 		this.flow.received(bytes.length());
+		boolean progress = relay(bytes, commands);
+		countHeld();
+		return progress;
+	}
+
+	private boolean relay(Payload bytes, List<ForwardCommand> commands) {
 		if (this.streamed) {
 			Optional<Payload> complete = this.splitter.feed(bytes);
 			complete.ifPresent((events) -> send(events, commands));
@@ -87,14 +117,23 @@
 			return true;
 		}
 		this.buffered.append(bytes);
-		if (this.buffered.length() > MAX_BUFFERED_BYTES) {
+		if (this.buffered.length() > this.memory.limit(MAX_BUFFERED_BYTES)) {
 			send(this.buffered.take(this.buffered.length()), commands);
 		}
 		return true;
 	}
 
 	boolean eventOversized() {
-		return this.splitter.oversized();
+		return this.splitter.remainingBytes() > this.memory.limit(MAX_EVENT_BYTES);
+	}
+
+	/**
+	 * Counts bytes written to the connection of the caller.
+	 * @param bytes the number of bytes
+	 */
+	void written(long bytes) {
+		this.flow.written(bytes);
+		countHeld();
 	}
 
 	/**
@@ -115,6 +154,15 @@
 		return true;
 	}
 
+	private void countHeld() {
+		count(this.buffered.length() + this.splitter.remainingBytes() + this.flow.unwrittenBytes());
+	}
+
+	private void count(long heldBytes) {
+		this.memory.add(heldBytes - this.countedBytes);
+		this.countedBytes = heldBytes;
+	}
+
 	private void send(Payload bytes, List<ForwardCommand> commands) {
 		if (!this.started) {
 			this.started = true;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyWritten.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReplyWritten.java
@@ -12,6 +12,6 @@
 public record ReplyWritten(RequestId request, long bytes) implements ForwardEvent {
 
 	/** The number of bytes from which they are reported. */
-	public static final long MIN_REPORT_BYTES = 32 * 1024;
+	public static final long MIN_REPORT_BYTES = 8 * 1024;
 
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -60,7 +60,11 @@
 	}
 
 	private ForwardRig(ForwardLimits limits, long seed) {
-		this.decider = new ForwardDecider("self", limits, new Random(seed));
+		this(limits, Long.MAX_VALUE, seed);
+	}
+
+	private ForwardRig(ForwardLimits limits, long replyBytes, long seed) {
+		this.decider = new ForwardDecider("self", limits, replyBytes, new Random(seed));
 	}
 
 	/**
@@ -77,7 +81,18 @@
 	}
 
 	static ForwardRig configured(int engines, int orders) {
-		ForwardRig rig = new ForwardRig();
+		return configured(engines, orders, Long.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a rig that holds a bounded number of bytes of unfinished answers.
+	 * @param engines the number of engines
+	 * @param orders the number of other instances
+	 * @param replyBytes the number of bytes
+	 * @return the rig
+	 */
+	static ForwardRig configured(int engines, int orders, long replyBytes) {
+		ForwardRig rig = new ForwardRig(new ForwardLimits(0.2, 100, 10_000, 20_000, 17, 1), replyBytes, 1);
 		rig.handle(new ConfigurationApplied(configuration(1)));
 		rig.handle(new InstancesChanged(instances(engines, orders)));
 		return rig.advance(SETTLING_MILLIS);
