--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
@@ -36,6 +36,8 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
+	private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
+
 	private final XnioWorker worker;
 
 	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -106,8 +108,19 @@
 	 * {@link CallFailedException}
 	 */
 	public CompletableFuture<HttpReply> call(HttpCall call) {
+		return call(call, MAX_BODY_BYTES);
+	}
+
+	/**
+	 * Makes a call and collects the reply.
+	 * @param call the call
+	 * @param maxBodyBytes the size of the body above which the call fails
+	 * @return a future of the reply; completes exceptionally with
+	 * {@link CallFailedException}
+	 */
+	public CompletableFuture<HttpReply> call(HttpCall call, long maxBodyBytes) {
 		CompletableFuture<HttpReply> future = new CompletableFuture<>();
-		start(call, new CollectingObserver(future));
+		start(call, new CollectingObserver(future, maxBodyBytes));
 		return future;
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/CollectingObserver.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/CollectingObserver.java
@@ -15,10 +15,10 @@
  */
 public final class CollectingObserver implements ReplyObserver {
 
-	private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
-
 	private final CompletableFuture<HttpReply> future;
 
+	private final long maxBodyBytes;
+
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private HttpHead head;
@@ -26,9 +26,11 @@
 	/**
 	 * Creates an observer.
 	 * @param future the future to complete
+	 * @param maxBodyBytes the size above which the call fails
 	 */
-	public CollectingObserver(CompletableFuture<HttpReply> future) {
+	public CollectingObserver(CompletableFuture<HttpReply> future, long maxBodyBytes) {
 		this.future = future;
+		this.maxBodyBytes = maxBodyBytes;
 	}
 
 	@Override
@@ -44,7 +46,7 @@
 
 	@Override
 	public long maxBodyBytes() {
-		return MAX_BODY_BYTES;
+		return this.maxBodyBytes;
 	}
 
 	@Override
