Bound the records of a stream of the store

What callers saw: in trials with a heap of 96 MB, no answer for some time; the thread that follows the instances ended with an OutOfMemoryError, and the gateway would have kept its last view for ever.

Cause: pages of newest records are collected while the store says that more follow, at once and without a bound; an empty page, or the same page again, counts as progress. Changes with new keys are kept without a bound as well.

Evidence: EndlessStreamTests on the code before ended its own process with a heap of 1,500 MB ("There was an error in the forked process: Java heap space"). In a trial with a gateway process: Exception in thread "follow-INSTANCES" java.lang.OutOfMemoryError: Java heap space.

Change: a stream has a budget of a 32nd of the heap (6 MB of 194 MB; a record of a server takes some 500 bytes). Pages that exceed it, and an empty page that says that more follow, fail the read: the last state stays in force and the read is repeated from its start with the usual pauses. Of changes and of the messages of peers, records beyond the budget are left out, so that the other keys are still followed; the log names the stream and the key and says what to check.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
@@ -4,7 +4,11 @@
 import java.util.List;
 import java.util.Map;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
 
 /**
  * The newest record of each key of a stream, for daemons that request them.
@@ -17,22 +21,72 @@
 	 */
 	private static final int MAX_MESSAGE_BYTES = 32 * 1024;
 
+	private static final Logger LOGGER = LogManager.getLogger(NewestRecords.class);
+
 	private final Map<String, KeyedRecord> records = new LinkedHashMap<>();
 
-	void replace(List<KeyedRecord> newest) {
+	private final KeyedStream stream;
+
+	private final RecordBudget budget;
+
+	private boolean full;
+
+	NewestRecords(KeyedStream stream, RecordBudget budget) {
+		this.stream = stream;
+		this.budget = budget;
+	}
+
+	/**
+	 * Replaces all records.
+	 * @param newest the new records
+	 * @return those that were kept, as with {@link #apply}
+	 */
+	List<KeyedRecord> replace(List<KeyedRecord> newest) {
 		this.records.clear();
-		apply(newest);
+		this.budget.clear();
+		return apply(newest);
+	}
+
+	/**
+	 * Applies changes within the budget of the stream. A record that exceeds it is left
+	 * out, so that those of other keys are still followed.
+	 * @param changes the changes
+	 * @return the changes that were applied
+	 */
+	List<KeyedRecord> apply(List<KeyedRecord> changes) {
+		List<KeyedRecord> applied = changes.stream().filter(this::apply).toList();
+		boolean leftOut = applied.size() < changes.size();
+		if (leftOut && !this.full) {
+			LOGGER.warn(
+					"platform: the records of stream {} exceed {}, the first that is left out has the key {}; "
+							+ "check who writes to its topic",
+					this.stream, this.budget, firstLeftOut(changes, applied));
+		}
+		this.full |= leftOut;
+		return applied;
+	}
+
+	private boolean apply(KeyedRecord record) {
+		KeyedRecord before = this.records.get(record.key());
+		long freedBytes = (before != null) ? RecordBudget.size(before) : 0;
+		if (record.value().isEmpty()) {
+			this.budget.reserve(-freedBytes);
+			this.records.remove(record.key());
+			return true;
+		}
+		if (!this.budget.reserve(RecordBudget.size(record) - freedBytes)) {
+			return false;
+		}
+		this.records.put(record.key(), record);
+		return true;
 	}
 
-	void apply(List<KeyedRecord> changes) {
-		for (KeyedRecord record : changes) {
-			if (record.value().isPresent()) {
-				this.records.put(record.key(), record);
-			}
-			else {
-				this.records.remove(record.key());
-			}
+	private static String firstLeftOut(List<KeyedRecord> changes, List<KeyedRecord> applied) {
+		int index = 0;
+		while (index < applied.size() && changes.get(index) == applied.get(index)) {
+			index++;
 		}
+		return changes.get(index).key();
 	}
 
 	List<KeyedRecord> all() {
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -1,6 +1,5 @@
 package org.rattanhead.platform.keyed;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +14,7 @@
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
+import org.rattanhead.core.problem.RemedyException;
 
 /**
  * Follows a stream: reads the newest record of each key, then the changes. After a gap it
@@ -51,9 +51,9 @@
 
 	private final HandlerTable<FollowEvent, Boolean> handlers;
 
-	private final List<KeyedRecord> collected = new ArrayList<>();
+	private final CollectedPages collected = new CollectedPages(RecordBudget.ofHeap());
 
-	private final NewestRecords newest = new NewestRecords();
+	private final NewestRecords newest;
 
 	/** Hosts that requested a snapshot before this daemon had one. */
 	private final Set<String> requesters = new LinkedHashSet<>();
@@ -83,6 +83,7 @@
 		this.store = store;
 		this.plan = plan;
 		this.stream = plan.get().stream();
+		this.newest = new NewestRecords(this.stream, RecordBudget.ofHeap());
 		this.notifications = new ListenerNotifications(this.stream);
 		this.schedule = schedule;
 		this.listener = listener;
@@ -120,12 +121,12 @@
 
 	private void read(long nowNanos) {
 		this.readPending = true;
-		String afterKey = this.collected.isEmpty() ? "" : this.collected.get(this.collected.size() - 1).key();
 		long fromOffset = this.nextOffset;
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
 		long waitMillis = (this.schedule.isReader(nowNanos) && !this.failing) ? this.plan.get().waitMillis() : 0;
-		CompletableFuture<KeyedPage> page = this.readingNewest ? this.store.newest(this.stream, afterKey)
+		CompletableFuture<KeyedPage> page = this.readingNewest
+				? this.store.newest(this.stream, this.collected.lastKey())
 				: this.store.changes(this.stream, fromOffset, waitMillis);
 		page.whenComplete((read, failure) -> this.events
 			.accept((failure != null) ? new ReadFailed(failure) : new PageArrived(fromOffset, read)));
@@ -151,23 +152,28 @@
 	}
 
 	private void collectNewest(KeyedPage page, long nowNanos) {
-		this.collected.addAll(page.records());
+		try {
+			this.collected.add(page);
+		}
+		catch (RemedyException ex) {
+			this.nextOffset = NO_OFFSET;
+			onReadFailed(ex, nowNanos);
+			return;
+		}
 		this.nextOffset = (this.nextOffset == NO_OFFSET) ? page.nextOffset() : this.nextOffset;
 		if (page.more()) {
 			read(nowNanos);
 			return;
 		}
 		this.readingNewest = false;
-		List<KeyedRecord> read = List.copyOf(this.collected);
-		this.collected.clear();
 		this.schedule.newestRead(nowNanos);
-		replaceAll(read, nowNanos);
+		replaceAll(this.collected.take(), nowNanos);
 		scheduleRead(nowNanos);
 	}
 
 	private void replaceAll(List<KeyedRecord> records, long nowNanos) {
-		this.newest.replace(records);
-		this.notifications.run(() -> this.listener.onNewest(records));
+		List<KeyedRecord> kept = this.newest.replace(records);
+		this.notifications.run(() -> this.listener.onNewest(kept));
 		List<String> hosts = List.copyOf(this.requesters);
 		this.requesters.clear();
 		hosts.forEach((host) -> onSnapshotRequested(host, nowNanos));
@@ -232,10 +238,10 @@
 			KeyedPage rest = StreamUpdates.skip(page, fromOffset, this.nextOffset);
 			long restOffset = StreamUpdates.isComplete(page, fromOffset) ? this.nextOffset : fromOffset;
 			this.nextOffset = page.nextOffset();
-			this.newest.apply(rest.records());
+			List<KeyedRecord> applied = this.newest.apply(rest.records());
 			this.notifications.run(() -> {
-				List<KeyedRecord> relevant = this.listener.selectRelevant(rest.records());
-				this.listener.onChanges(rest.records());
+				List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
+				this.listener.onChanges(applied);
 				this.peers.sendUpdate(StreamUpdates.create(this.stream, restOffset, rest, relevant));
 			});
 		}
@@ -259,9 +265,8 @@
 			this.schedule.makeDue(nowNanos);
 			return readIfDue(nowNanos);
 		}
-		List<KeyedRecord> records = StreamUpdates.selectNew(update, this.nextOffset);
+		List<KeyedRecord> records = this.newest.apply(StreamUpdates.selectNew(update, this.nextOffset));
 		this.nextOffset = update.nextOffset();
-		this.newest.apply(records);
 		this.notifications.run(() -> this.listener.onChanges(records));
 		return true;
 	}
