Bound the replies to reservation orders

What callers saw: nothing yet; found by reading and shown by a test.

Cause: the reply to an order is collected up to 8 MiB (24 MiB with the copies while it grows), though only its head is used.

Evidence: ReservationReplyTests before the change, 3 of 6 rows failed: a reply of 65,537, 1,000,000 and 8,000,000 bytes was collected and GRANTED.

The server of the test reads what was sent before it closes.

Result: ReservationReplyTests and FullRingTests pass.

--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -38,6 +38,12 @@
 
 	private static final int RING_SLOTS = 4_096;
 
+	/**
+	 * Only the head of a reply to a reservation order is used. Orders are sent for many
+	 * prompts at once.
+	 */
+	private static final long MAX_ORDER_REPLY_BYTES = 64 * 1024;
+
 	private static final int OK = 200;
 
 	private static final int CONFLICT = 409;
@@ -153,7 +159,7 @@
 	}
 
 	private boolean sendReservation(UpdateReservation task) {
-		this.caller.call(task.call()).whenComplete((reply, failure) -> {
+		this.caller.call(task.call(), MAX_ORDER_REPLY_BYTES).whenComplete((reply, failure) -> {
 			TicketOutcome outcome = (reply != null) ? outcome(reply, task.release()) : TicketOutcome.UNKNOWN;
 			if (outcome != TicketOutcome.GRANTED && outcome != TicketOutcome.RELEASED) {
 				LOGGER.info("upstream: reservation order of ticket {} ended with {}; {}", task.ticket().name(), outcome,
--- a/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/LargeAnswerServer.java
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/LargeAnswerServer.java
@@ -15,7 +15,9 @@
  */
 final class LargeAnswerServer implements AutoCloseable {
 
-	static final int BODY_BYTES = 16 * 1024 * 1024;
+	private static final int BODY_BYTES = 16 * 1024 * 1024;
+
+	private final int bodyBytes;
 
 	final CompletableFuture<String> firstEnd = new CompletableFuture<>();
 
@@ -24,6 +26,11 @@
 	private final ServerSocket listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
 
 	LargeAnswerServer() throws IOException {
+		this(BODY_BYTES);
+	}
+
+	LargeAnswerServer(int bodyBytes) throws IOException {
+		this.bodyBytes = bodyBytes;
 		CompletableFuture.runAsync(this::accept);
 	}
 
@@ -48,9 +55,11 @@
 			InputStream in = socket.getInputStream();
 			if (in.read() >= 0) {
 				this.requests.incrementAndGet();
-				String head = "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+				// A close with unread bytes would reset the connection.
+				in.readNBytes(in.available());
+				String head = "HTTP/1.1 200 OK\r\nContent-Length: " + this.bodyBytes + "\r\n\r\n";
 				socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-				socket.getOutputStream().write(new byte[BODY_BYTES]);
+				socket.getOutputStream().write(new byte[this.bodyBytes]);
 				this.firstEnd.complete("written");
 			}
 		}
