End request bodies whose trailer or chunk framing has no end

Cause: the HTTP library keeps a trailer without a bound, and the time-out of a body lets it do so for 10 s. The bytes are no part of the body, so neither its limit nor the budget of bodies counts them.

Change: after 32 reads in a row without a byte of the body (each takes up to one buffer), a body is malformed and the connection is closed.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
@@ -28,6 +28,13 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
+	/**
+	 * The reads in a row that yield nothing of the body, after which a body is malformed.
+	 * Each takes up to a buffer of a chunk size, an extension or a trailer, which the
+	 * HTTP library keeps without a bound.
+	 */
+	private static final int MAX_FRUITLESS_READS = 32;
+
 	private final HttpServerExchange exchange;
 
 	private final RequestBodyLimits limits;
@@ -44,6 +51,8 @@
 
 	private final AtomicBoolean ended = new AtomicBoolean();
 
+	private int fruitlessReads;
+
 	private XnioExecutor.Key timeout;
 
 	private StreamSourceChannel channel;
@@ -108,6 +117,12 @@
 				complete();
 				return;
 			}
+			this.fruitlessReads = (count == 0) ? this.fruitlessReads + 1 : 0;
+			if (this.fruitlessReads > MAX_FRUITLESS_READS) {
+				fail(Problem.notRun(ProblemKind.MALFORMED_REQUEST,
+						"A chunk size, a chunk extension or the trailer of the body is too long."));
+				return;
+			}
 			if (count == 0) {
 				this.channel.getReadSetter().set((ready) -> read());
 				this.channel.resumeReads();
