Drop datagrams whose sender has no valid name or address

Cause: the names of hosts arrive with the datagrams and are kept for up to 600 s, whatever their length. An address that cannot be parsed is kept as well, and each sending of heartbeats ended with an exception at it.

Evidence: MeshNetworkTests.dropsHeartbeatOfInvalidSender, 6 of 6 rows failed before the change: the heartbeat was delivered.

Change: DatagramCheck accepts names of 1 to 255 characters and addresses of the form IP:PORT; other datagrams are dropped with the existing log line.

Result: MeshNetworkTests pass.

--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/mesh/MeshNetwork.java
@@ -31,6 +31,7 @@
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
+import org.rattanhead.peer.internal.DatagramCheck;
 import org.rattanhead.peer.internal.MeshCodec;
 import org.rattanhead.peer.internal.StreamMessageCodec;
 
@@ -172,7 +173,7 @@
 				try {
 					byte[] bytes = new byte[packet.content().readableBytes()];
 					packet.content().readBytes(bytes);
-					MeshCodec.deliver(MeshDatagram.parseFrom(bytes), listener);
+					MeshCodec.deliver(DatagramCheck.check(MeshDatagram.parseFrom(bytes)), listener);
 				}
 				catch (InvalidProtocolBufferException ex) {
 					LOGGER.warn("peer: dropped a datagram from {} that could not be decoded", packet.sender());
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -30,6 +30,7 @@
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshStreamNews;
+import org.rattanhead.peer.internal.MeshCodec;
 import org.rattanhead.peer.internal.StreamMessageCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -195,6 +196,27 @@
 		}
 	}
 
+	/**
+	 * Guards against LOST: names of any length were kept. An address that cannot be
+	 * parsed ended each sending of heartbeats.
+	 */
+	@ParameterizedTest(name = "name of {0} characters, {1}, {2}")
+	@CsvSource({ "0, 10.0.0.1:80, 10.0.0.1:90", "256, 10.0.0.1:80, 10.0.0.1:90", "60000, 10.0.0.1:80, 10.0.0.1:90",
+			"4, no address, 10.0.0.1:90", "4, 10.0.0.1:80, no address", "4, 10.0.0.1:80, ''" })
+	void dropsHeartbeatOfInvalidSender(int nameLength, String callersAddress, String meshAddress) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		MemberHeartbeat heartbeat = new MemberHeartbeat(new Member("", 5, callersAddress, meshAddress, 1_500), true,
+				true, 7, List.of(), List.of(), List.of());
+		byte[] bytes = MeshCodec.encodeHeartbeat("x".repeat(nameLength), heartbeat).toByteArray();
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener);
+				DatagramSocket socket = new DatagramSocket()) {
+			socket.send(new DatagramPacket(bytes, bytes.length, address));
+			network.sendLoadEnded(List.of(member), List.of("k"));
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("k"));
+		}
+	}
+
 	private static List<CrashReport> crashes(int reports) {
 		return IntStream.range(0, reports)
 			.mapToObj((index) -> new CrashReport(-index, List.of(new ReportedCrash(-9, index), new ReportedCrash(8, 0)),
