Bound the number of daemons that are kept

Cause: each name in a heartbeat, a report or a record of the store became an entry for up to 600 s, and a receiver of heartbeats and updates.

Evidence: RegisterTests.keepsBoundedNumberOfDaemons, 2 of 3 rows failed before the change (8,192 and 20,000 daemons were kept).

Change: MemberTable keeps 4,096 daemons; the known ones are updated on.

Result: RegisterTests pass. Nothing of this was seen by callers.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/MemberTable.java
@@ -46,6 +46,9 @@
 	/** The most addresses that callers use, as specified by the platform. */
 	private static final int MAX_ADVERTISED_DAEMONS = 64;
 
+	/** Far more than there are; names of hosts arrive from the network. */
+	private static final int MAX_MEMBERS = 4_096;
+
 	private final Member self;
 
 	private final Map<String, MemberState> members = new HashMap<>();
@@ -67,8 +70,7 @@
 		MemberState state = this.members.get(member.host());
 		boolean newer = state == null || state.member().startedMillis() < member.startedMillis();
 		if (newer && !member.host().equals(this.self.host())) {
-			this.members.put(member.host(),
-					new MemberState(member, false, false, false, nowNanos + REGISTERED_RETENTION_NANOS));
+			put(member.host(), new MemberState(member, false, false, false, nowNanos + REGISTERED_RETENTION_NANOS));
 		}
 	}
 
@@ -83,9 +85,8 @@
 		if (state != null && state.member().startedMillis() > heartbeat.member().startedMillis()) {
 			return false;
 		}
-		this.members.put(heartbeat.member().host(),
-				new MemberState(heartbeat.member(), true, heartbeat.ready(), heartbeat.serving(),
-						nowNanos + (heartbeat.serving() ? HEARTBEAT_TIMEOUT_NANOS : STANDBY_HEARTBEAT_TIMEOUT_NANOS)));
+		put(heartbeat.member().host(), new MemberState(heartbeat.member(), true, heartbeat.ready(), heartbeat.serving(),
+				nowNanos + (heartbeat.serving() ? HEARTBEAT_TIMEOUT_NANOS : STANDBY_HEARTBEAT_TIMEOUT_NANOS)));
 		return true;
 	}
 
@@ -102,7 +103,7 @@
 		for (MemberState state : List.copyOf(this.members.values())) {
 			String host = state.member().host();
 			if (state.alive() && state.serving() && !reported.contains(host)) {
-				this.members.put(host, new MemberState(state.member(), true, state.ready(), true,
+				put(host, new MemberState(state.member(), true, state.ready(), true,
 						Math.min(state.expiresNanos(), nowNanos + OMITTED_TIMEOUT_NANOS)));
 			}
 		}
@@ -115,8 +116,7 @@
 		boolean expiresLater = state != null && state.alive()
 				&& state.expiresNanos() > nowNanos + REPORTED_TIMEOUT_NANOS;
 		if (!older && !expiresLater && !member.host().equals(this.self.host())) {
-			this.members.put(member.host(),
-					new MemberState(member, true, true, true, nowNanos + REPORTED_TIMEOUT_NANOS));
+			put(member.host(), new MemberState(member, true, true, true, nowNanos + REPORTED_TIMEOUT_NANOS));
 		}
 	}
 
@@ -135,11 +135,11 @@
 			}
 			if (state.alive() && expectsHeartbeatsFrom(state)) {
 				unresponsive.add(state.member().host());
-				this.members.put(state.member().host(), new MemberState(state.member(), false, false, state.serving(),
+				put(state.member().host(), new MemberState(state.member(), false, false, state.serving(),
 						nowNanos + UNRESPONSIVE_RETENTION_NANOS));
 			}
 			else if (state.alive()) {
-				this.members.put(state.member().host(),
+				put(state.member().host(),
 						new MemberState(state.member(), false, false, false, nowNanos + REGISTERED_RETENTION_NANOS));
 			}
 			else {
@@ -291,4 +291,10 @@
 		return 1 + (int) this.members.values().stream().filter(MemberState::alive).count();
 	}
 
+	private void put(String host, MemberState state) {
+		if (this.members.size() < MAX_MEMBERS || this.members.containsKey(host)) {
+			this.members.put(host, state);
+		}
+	}
+
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
@@ -188,6 +188,19 @@
 		table.receiveHeartbeat(new MemberHeartbeat(member, true, true, 1, List.of(), List.of(), List.of()), 0);
 	}
 
+	/** Guards against LOST: heartbeats with ever new names filled the memory. */
+	@ParameterizedTest(name = "{0} daemons: {1} kept")
+	@CsvSource({ "300, 300", "4096, 4096", "10000, 4096" })
+	void keepsBoundedNumberOfDaemons(int daemons, int kept) {
+		MemberTable table = new MemberTable(peer("self"));
+		for (int daemon = 0; daemon < daemons; daemon++) {
+			receiveServingHeartbeat(table, peer("h" + daemon));
+			table.add(peer("r" + daemon), 0);
+		}
+		assertThat(table.recipients()).hasSize(Math.min(2 * kept, 4_096));
+		assertThat(table.find("h0")).isPresent();
+	}
+
 	@ParameterizedTest(name = "started at {0}: accepted {1}")
 	@CsvSource({ "4, false", "5, true", "6, true" })
 	void ignoresHeartbeatsOfAnEarlierIncarnation(long startedMillis, boolean accepted) {
