Bound the work of peers that is kept

What callers saw: in a trial with a heap of 96 MB, datagrams of one sender with 3.9 million entries of work made a gateway answer nobody ("Read timed out").

Cause: the keys of placed work have no bound; their sender says how long they are kept. Keys of hosts that left stayed as empty sets.

Evidence: WorkKeysTests before the change, 2 of 4 rows failed (100,000 keys of one daemon, and 640,000 of 64, were kept).

Result: WorkKeysTests, ForwardDeciderTests and PeerActivityTests pass.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -253,11 +253,10 @@
 
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
-		if (load != null) {
+		if (load != null && this.keys.add(host, entry.key(), entry.instance())) {
 			load.place(entry, this.activity.isSelf(host), even() ? this.activity.entryAgeMillis(host) : 0, nowNanos)
 				.filter(PlacedLoad::isRequest)
 				.ifPresent((added) -> this.activity.placed(host, load.instance().service(), nowNanos));
-			this.keys.add(host, entry.key(), entry.instance());
 		}
 	}
 
