--- a/rattanhead-client/src/test/java/org/rattanhead/client/internal/ExchangeRaceTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/internal/ExchangeRaceTests.java
@@ -32,7 +32,7 @@
 		CompletableFuture<HttpReply> future = new CompletableFuture<>();
 		AtomicInteger ended = new AtomicInteger();
 		Exchange exchange = new Exchange(HttpCall.get(new InetSocketAddress("127.0.0.1", 1), "/", 1_000),
-				new CollectingObserver(future), new ConnectionPool(), new DefaultByteBufferPool(true, 1_024),
+				new CollectingObserver(future, 1_024), new ConnectionPool(), new DefaultByteBufferPool(true, 1_024),
 				(call) -> ended.incrementAndGet());
 		switch (end) {
 			case "abort" -> exchange.abort();
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/UpstreamFleet.java
@@ -244,13 +244,12 @@
 
 	void place(String host, LoadEntry entry, long nowNanos) {
 		InstanceLoad load = this.instances.get(entry.instance());
-		if (load != null) {
+		if (load != null && this.keys.add(host, entry.key(), entry.instance())) {
 			Optional<PlacedLoad> added = load.place(entry, this.activity.isSelf(host),
 					even() ? this.activity.entryAgeMillis(host) : 0, nowNanos);
 			added.ifPresent((start) -> this.turns.started(load.instance(), nowNanos));
 			added.filter(PlacedLoad::isRequest)
 				.ifPresent((start) -> this.activity.placed(host, load.instance().service(), nowNanos));
-			this.keys.add(host, entry.key(), entry.instance());
 		}
 	}
 
