--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -155,7 +155,7 @@
 			Forwarding forwarding = this.admission.admit(request, nowNanos);
 			this.state.add(forwarding);
 			this.state.budget().request(forwarding.service().name(), nowNanos);
-			dispatchConfined(forwarding, nowNanos, commands);
+			this.faults.confine(forwarding, nowNanos, commands, () -> dispatch(forwarding, nowNanos, commands));
 		}
 		catch (ProblemException ex) {
 			commands.add(new LogDecision("refused", request.id().value(), request.callerAttempt(), "",
@@ -170,10 +170,6 @@
 		return commands;
 	}
 
-	private void dispatchConfined(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
-		this.faults.confine(forwarding, nowNanos, commands, () -> dispatch(forwarding, nowNanos, commands));
-	}
-
 	private void dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		DispatchResult result = this.dispatcher.dispatch(forwarding, nowNanos, commands);
 		if (result.refused()) {
@@ -225,8 +221,10 @@
 		for (Forwarding forwarding : this.state.all()) {
 			this.faults.confine(forwarding, nowNanos, commands, () -> tick(forwarding, held, nowNanos, commands));
 		}
-		this.faults.confine(commands, () -> this.sharing.order(held)
-			.forEach((forwarding) -> dispatchConfined(forwarding, nowNanos, commands)));
+		this.faults.confine(commands,
+				() -> this.sharing.order(held)
+					.forEach((forwarding) -> this.faults.confine(forwarding, nowNanos, commands,
+							() -> dispatch(forwarding, nowNanos, commands))));
 		this.faults.confine(commands, () -> this.state.fleet().expire(nowNanos));
 		this.faults.confine(commands, () -> this.state.tickets().tick(nowNanos, commands));
 		this.faults.confine(commands, () -> this.crashes.publish(nowNanos, commands));
