--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -12,12 +12,9 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.XnioExecutor;
@@ -134,17 +131,18 @@
 		}
 		newConnection.client()
 			.getIoThread()
-			.execute(() -> confine(() -> newConnection.client().sendRequest(buildRequest(), new ClientCallback<>() {
-				@Override
-				public void completed(ClientExchange exchange) {
-					confine(() -> requestStarted(exchange));
-				}
-
-				@Override
-				public void failed(IOException ex) {
-					fail(CallFailure.BROKEN, "the request could not be sent: " + ex.getMessage());
-				}
-			})));
+			.execute(() -> confine(
+					() -> newConnection.client().sendRequest(RequestEncoder.encode(this.call), new ClientCallback<>() {
+						@Override
+						public void completed(ClientExchange exchange) {
+							confine(() -> requestStarted(exchange));
+						}
+
+						@Override
+						public void failed(IOException ex) {
+							fail(CallFailure.BROKEN, "the request could not be sent: " + ex.getMessage());
+						}
+					})));
 	}
 
 	@Override
@@ -242,26 +240,6 @@
 		fail(CallFailure.TIMED_OUT, detail);
 	}
 
-	private ClientRequest buildRequest() {
-		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
-			.setPath(this.call.path());
-		request.getRequestHeaders()
-			.put(Headers.HOST, this.call.address().getHostString() + ":" + this.call.address().getPort());
-		for (HttpField field : this.call.fields()) {
-			HttpString name = new HttpString(field.name());
-			if (Headers.HOST.equals(name)) {
-				request.getRequestHeaders().put(name, field.value());
-			}
-			else {
-				request.getRequestHeaders().add(name, field.value());
-			}
-		}
-		if (this.call.body().length() > 0 || this.call.method().equals("POST")) {
-			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, this.call.body().length());
-		}
-		return request;
-	}
-
 	private void requestStarted(ClientExchange exchange) {
 		exchange.setResponseListener(new ClientCallback<>() {
 			@Override
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
@@ -46,11 +46,12 @@
 		KeyedListener listener = record.equals("instance")
 				? new InstanceRecordListener(this.fullRing, this.status, System::nanoTime)
 				: new OperatorRecordListener(this.fullRing, this.status);
-		listener.onNewest(switch (record) {
+		List<KeyedRecord> records = switch (record) {
 			case "config" -> List.of(new KeyedRecord("config", Optional.of(Payload.of(CONFIGURATION))));
 			case "instance" -> List.of(new KeyedRecord("i-0", Optional.of(Payload.of(ENTRY))));
 			default -> List.of();
-		});
+		};
+		listener.onNewest(records);
 		assertThat(this.accepted).contains(event);
 	}
 
