Start the gateways of LimitProcessTests one after the other

Cause: in a run beside other load (load average 29) three rows did not start. Row 3: a gateway ended with "Address already in use", since free addresses are looked up before the gateways that start at the same time listen on theirs. Rows 4 and 8: four processes that start at once listened only after 8 s, the time that the rig waits. Change: each gateway serves before the next one is started.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/LimitProcessTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/LimitProcessTests.java
@@ -65,11 +65,12 @@
 			this.servers.add(new LimitServer());
 			GatewayRig.register(this.store, index, this.servers.get(index).address(), "ready");
 		}
+		this.load = new NoticeLoad(this.gateways, CALLERS_PER_GATEWAY);
 		for (int index = 0; index < GATEWAYS; index++) {
+			// Each listens before free addresses are looked up for the next one.
 			this.gateways.add(new GatewayProcess(folder, "g" + index, this.store.server().address()));
+			this.load.awaitServed();
 		}
-		this.load = new NoticeLoad(this.gateways, CALLERS_PER_GATEWAY);
-		this.load.awaitServed();
 	}
 
 	/**
