Refuse on the own path what is read after the last check of a shutdown

Callers of the own interface could see the connection close without an answer at the end of a planned stop.

Cause: the same as on the path of the gateway: Daemon.drain waited until no response was open, and closed the front end afterwards; a request that was read in between was offered to a ring that nobody answers any more. Change: what ForwardRegistry did is in OpenExchanges, which both front ends share: a request counts as open before it is checked whether it is refused, and the end sets the flag before it reads the count. Bodies in progress are refused as well.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/Daemon.java
@@ -154,7 +154,7 @@
 			if (!this.holderDrained.await(this.settings.drainTimeoutMillis(), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("daemon: some work of other daemons still runs and is cancelled");
 			}
-			boolean written = this.frontEnd.awaitWritten(FINAL_ANSWERS_MILLIS);
+			boolean written = this.frontEnd.finish(FINAL_ANSWERS_MILLIS);
 			LOGGER.info("daemon: stopped; {}",
 					written ? "every request has ended" : "some answers were not written to the end");
 		}
--- a/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/FrontEnd.java
@@ -69,13 +69,15 @@
 	}
 
 	/**
-	 * Waits until all responses are written.
+	 * Refuses whatever is read from now on, with the requests whose body has not arrived
+	 * whole, and waits until all responses are written. Afterwards the front end can be
+	 * closed without cutting a request.
 	 * @param timeoutMillis the longest wait, in milliseconds
 	 * @return whether all are written
 	 * @throws InterruptedException if the wait is interrupted
 	 */
-	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.registry.exchanges().awaitWritten(timeoutMillis);
+	public boolean finish(long timeoutMillis) throws InterruptedException {
+		return this.registry.finish(timeoutMillis);
 	}
 
 	private HttpHandler routes(FrontEndSettings settings, EventSink<EdgeEvent> edge, FrontEndPages pages,
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerHandler.java
@@ -63,6 +63,10 @@
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
+		if (!this.registry.exchanges().open(exchange)) {
+			refuseAndClose(exchange, CallerRegistry.SHUTTING_DOWN);
+			return;
+		}
 		if (exchange.getRequestContentLength() > MAX_DISCARDED_BYTES) {
 			refuseAndClose(exchange, bodyTooLarge());
 			return;
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/CallerRegistry.java
@@ -8,6 +8,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.problem.Problem;
+import org.rattanhead.core.problem.ProblemKind;
 import org.rattanhead.core.request.RequestId;
 import org.rattanhead.decision.edge.CallerDisconnected;
 import org.rattanhead.decision.edge.EdgeEvent;
@@ -21,6 +22,11 @@
  */
 public final class CallerRegistry implements AnswerWriter {
 
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	static final Problem SHUTTING_DOWN = Problem.notRun(ProblemKind.SHUTTING_DOWN, "The daemon is shutting down.",
+			RETRY_AFTER_MILLIS);
+
 	private final ConcurrentMap<RequestId, CallerStream> streams = new ConcurrentHashMap<>();
 
 	private final OpenExchanges exchanges = new OpenExchanges();
@@ -72,6 +78,16 @@
 		remove(request).ifPresent((stream) -> stream.abort(problem));
 	}
 
+	/**
+	 * Refuses whatever is read from now on, and waits until all responses are written.
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public boolean finish(long timeoutMillis) throws InterruptedException {
+		return this.exchanges.finish(SHUTTING_DOWN, timeoutMillis);
+	}
+
 	/**
 	 * Returns what the exchanges of this front end share.
 	 * @return the exchanges
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -49,8 +49,6 @@
 
 	private volatile boolean closing;
 
-	private volatile boolean refusing;
-
 	/**
 	 * Creates a registry.
 	 * @param codec encodes refusals
@@ -71,19 +69,16 @@
 	}
 
 	/**
-	 * Opens an exchange, which counts as open until its response is written. It must be
-	 * counted before it is checked whether it is refused, since a shutdown does both in
-	 * the reverse order.
+	 * Opens an exchange, or refuses its request during the end of a shutdown.
 	 * @param exchange the exchange
 	 * @return whether the request may be forwarded; otherwise it is refused already
 	 */
 	boolean open(HttpServerExchange exchange) {
-		this.exchanges.openResponse(exchange);
-		if (this.refusing) {
-			RefusalSender.send(exchange, encode(SHUTTING_DOWN));
-			return false;
+		if (this.exchanges.open(exchange)) {
+			return true;
 		}
-		return true;
+		RefusalSender.send(exchange, encode(SHUTTING_DOWN));
+		return false;
 	}
 
 	@Override
@@ -128,17 +123,13 @@
 	}
 
 	/**
-	 * Refuses whatever is read from now on at once, on its I/O thread, and the requests
-	 * whose body has not arrived whole, and waits until all responses are written.
-	 * Afterwards no request is open or will be.
+	 * Refuses whatever is read from now on, and waits until all responses are written.
 	 * @param timeoutMillis the longest wait, in milliseconds
 	 * @return whether all are written
 	 * @throws InterruptedException if the wait is interrupted
 	 */
 	public boolean finish(long timeoutMillis) throws InterruptedException {
-		this.refusing = true;
-		this.exchanges.giveUpBodies(SHUTTING_DOWN);
-		return this.exchanges.awaitWritten(timeoutMillis);
+		return this.exchanges.finish(SHUTTING_DOWN, timeoutMillis);
 	}
 
 	/**
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/OpenExchanges.java
@@ -27,6 +27,8 @@
 
 	private final OpenResponses responses = new OpenResponses();
 
+	private volatile boolean refusing;
+
 	/**
 	 * Reads the body of a request within the budget, which it uses until the exchange
 	 * ends.
@@ -55,11 +57,30 @@
 	}
 
 	/**
-	 * Gives up the bodies that have not arrived whole, also later ones.
+	 * Counts an exchange as open until its response is written. It must be counted before
+	 * it is checked whether it is refused, since {@link #finish} does both in the reverse
+	 * order.
+	 * @param exchange the exchange
+	 * @return false if the request must be refused before this thread reads on
+	 */
+	boolean open(HttpServerExchange exchange) {
+		openResponse(exchange);
+		return !this.refusing;
+	}
+
+	/**
+	 * Refuses whatever is read from now on, and the requests whose body has not arrived
+	 * whole, and waits until all responses are written. Afterwards no request is open or
+	 * will be.
 	 * @param problem the reason
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return whether all are written
+	 * @throws InterruptedException if the wait is interrupted
 	 */
-	void giveUpBodies(Problem problem) {
+	public boolean finish(Problem problem, long timeoutMillis) throws InterruptedException {
+		this.refusing = true;
 		this.bodiesInProgress.giveUpAll(problem);
+		return this.responses.awaitNone(timeoutMillis);
 	}
 
 	/**
@@ -75,14 +96,4 @@
 		return this.turns.of(exchange.getIoThread());
 	}
 
-	/**
-	 * Waits until all responses are written.
-	 * @param timeoutMillis the longest wait, in milliseconds
-	 * @return whether all are written
-	 * @throws InterruptedException if the wait is interrupted
-	 */
-	public boolean awaitWritten(long timeoutMillis) throws InterruptedException {
-		return this.responses.awaitNone(timeoutMillis);
-	}
-
 }
--- /dev/null
+++ b/rattanhead-http/src/test/java/org/rattanhead/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the front end of the own interface.
+ */
+package org.rattanhead.http;
