Test that the change of a limit is told and logged once

Cause: the tests of shared limits did not look at log lines and messages. Change: SharedLimitTests.tellsAndLogsChangesOnce: one PublishLimits and one instance-limit line for 1 or 50 answers, a line for a report of a peer, both limits in the next heartbeat.

--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/SharedLimitTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/SharedLimitTests.java
@@ -1,6 +1,8 @@
 package org.rattanhead.decision.forward;
 
+import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -8,8 +10,13 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.forward.LimitReport;
+import org.rattanhead.core.forward.ServerNotice;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /**
  * Limits that servers name and that all daemons share.
@@ -118,6 +125,26 @@
 		assertThat(fleet.served()).isGreaterThan(90);
 	}
 
+	/** Guards against a datagram and a log line for each answer that names a limit. */
+	@ParameterizedTest(name = "{0} answers")
+	@ValueSource(ints = { 1, 50 })
+	void tellsAndLogsChangesOnce(int answers) {
+		ForwardRig rig = ForwardRig.configured(0, 2);
+		for (int answer = 0; answer < answers; answer++) {
+			rig.handle(
+					new InstanceNoticed("o0", OptionalLong.of(1), new ServerNotice(false, 0, OptionalDouble.of(1.4))));
+		}
+		rig.handle(new PeerLimitsReceived(List.of(new LimitReport("o1", 1, OptionalDouble.of(5), 3))));
+		assertThat(rig.all(PublishLimits.class)).hasSize(1);
+		assertThat(rig.all(LogDecision.class)).filteredOn((entry) -> entry.decision().equals("instance-limit"))
+			.extracting(LogDecision::upstream, LogDecision::outcome)
+			.containsExactly(tuple("o0", "said so in an answer"), tuple("o1", "reported by a peer"));
+		assertThat(rig.handle(new HeartbeatDue())).filteredOn(PublishHeartbeat.class::isInstance)
+			.singleElement()
+			.extracting((command) -> ((PublishHeartbeat) command).limits().size())
+			.isEqualTo(2);
+	}
+
 	private static LimitedFleet named(int daemons, int servers, double limit) {
 		LimitedFleet fleet = new LimitedFleet(daemons, servers, 1);
 		fleet.advance(SETTLED_MILLIS);
