--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/SharedLimitTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/SharedLimitTests.java
@@ -1,6 +1,8 @@
 package org.rattanhead.decision.forward;
 
+import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -8,14 +10,21 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rattanhead.core.forward.LimitReport;
+import org.rattanhead.core.forward.ServerNotice;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /**
  * Limits that servers name and that all daemons share.
  */
 class SharedLimitTests {
 
+	private static final long WINDOW_MILLIS = 4_000;
+
 	private static final long TOLD_MILLIS = 500;
 
 	private static final long SETTLED_MILLIS = 3_000;
@@ -58,7 +67,7 @@
 		trouble.accept(fleet);
 		fleet.forget();
 		fleet.advance(12_000);
-		assertThat((double) fleet.mostArrivals("o0")).isLessThanOrEqualTo(allowed(limit));
+		assertThat((double) fleet.mostArrivals("o0", WINDOW_MILLIS)).isLessThanOrEqualTo(allowed(limit));
 		assertThat(fleet.failed()).as("refusals without Retry-After").isZero();
 		assertThat(fleet.slowestRefusalMillis()).as("slowest refusal").isLessThan(500);
 	}
@@ -82,7 +91,7 @@
 		fleet.advance(4_000);
 		fleet.forget();
 		fleet.advance(20_000);
-		assertThat((double) fleet.mostArrivals("o0")).isLessThanOrEqualTo(allowed(limit));
+		assertThat((double) fleet.mostArrivals("o0", WINDOW_MILLIS)).isLessThanOrEqualTo(allowed(limit));
 		assertThat(fleet.slowestRefusalMillis()).as("no refusal").isZero();
 	}
 
@@ -95,7 +104,7 @@
 		fleet.advance(8_000);
 		fleet.forget();
 		fleet.advance(8_000);
-		assertThat((double) fleet.mostArrivals("o0")).isLessThanOrEqualTo(allowed(second));
+		assertThat((double) fleet.mostArrivals("o0", WINDOW_MILLIS)).isLessThanOrEqualTo(allowed(second));
 		assertThat(fleet.arrivals("o0")).isGreaterThanOrEqualTo((int) (MIN_USED_SHARE * 8 * second));
 		fleet.name("o0", OptionalDouble.empty());
 		fleet.advance((second > 0) ? 1_500 : 8_000);
@@ -110,12 +119,32 @@
 	void endsWithIncarnation(int daemons) {
 		LimitedFleet fleet = named(daemons, 1, 1);
 		fleet.name("o0", OptionalDouble.empty());
-		fleet.restart("o0");
+		fleet.restart("o0", 0);
 		fleet.forget();
 		fleet.advance(2_000);
 		assertThat(fleet.served()).isGreaterThan(90);
 	}
 
+	/** Guards against a datagram and a log line for each answer that names a limit. */
+	@ParameterizedTest(name = "{0} answers")
+	@ValueSource(ints = { 1, 50 })
+	void tellsAndLogsChangesOnce(int answers) {
+		ForwardRig rig = ForwardRig.configured(0, 2);
+		for (int answer = 0; answer < answers; answer++) {
+			rig.handle(
+					new InstanceNoticed("o0", OptionalLong.of(1), new ServerNotice(false, 0, OptionalDouble.of(1.4))));
+		}
+		rig.handle(new PeerLimitsReceived(List.of(new LimitReport("o1", 1, OptionalDouble.of(5), 3))));
+		assertThat(rig.all(PublishLimits.class)).hasSize(1);
+		assertThat(rig.all(LogDecision.class)).filteredOn((entry) -> entry.decision().equals("instance-limit"))
+			.extracting(LogDecision::upstream, LogDecision::outcome)
+			.containsExactly(tuple("o0", "said so in an answer"), tuple("o1", "reported by a peer"));
+		assertThat(rig.handle(new HeartbeatDue())).filteredOn(PublishHeartbeat.class::isInstance)
+			.singleElement()
+			.extracting((command) -> ((PublishHeartbeat) command).limits().size())
+			.isEqualTo(2);
+	}
+
 	private static LimitedFleet named(int daemons, int servers, double limit) {
 		LimitedFleet fleet = new LimitedFleet(daemons, servers, 1);
 		fleet.advance(SETTLED_MILLIS);
