Answer requests whose handling ends with an error on the I/O thread

The decoder, the reader of a body and the writer of a response confined exceptions only. A StackOverflowError (the threads have 256 KB stacks) or an OutOfMemoryError after the body had arrived left the caller to nobody: its timeout was over, and the decisions did not know the request, or had forgotten it. Evidence, before the change: the new rows with errors fail: FailingCodecTests 3 of 3, FailedResponseTests 2 of 2 (Read timed out). Change: FailedExchange.confine ends an exchange whose handling fails, whatever is thrown; the reader, the decoder, the encoder of refusals and the writer catch errors, and reply before they log.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -107,7 +107,7 @@
 		catch (ProblemException ex) {
 			this.registry.refuse(new RefuseRequest(id, ex.problem()));
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			LOGGER.error("http: the head of request {} cannot be decoded; the request is refused", id, ex);
 			this.registry.refuse(new RefuseRequest(id,
 					Problem.notRun(ProblemKind.INTERNAL, "The head of the request cannot be decoded.")));
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardRegistry.java
@@ -110,7 +110,7 @@
 		try {
 			return this.codec.refuse(problem);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			LOGGER.error("http: a refusal cannot be encoded; the caller gets status {}", ProblemKind.INTERNAL.status(),
 					ex);
 			return new RefusalReply(ProblemKind.INTERNAL.status(), List.of(), Payload.of(""));
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/RequestBodyReader.java
@@ -71,23 +71,26 @@
 	 * Starts reading, after the handler of the exchange has returned.
 	 */
 	void start() {
-		this.exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-			if (this.exchange.isRequestComplete()) {
-				complete();
-				return;
-			}
-			this.timeout = this.exchange.getIoThread()
-				.executeAfter(
-						() -> fail(Problem.notRun(ProblemKind.SLOW_REQUEST,
-								"The body did not arrive within " + this.limits.timeoutMillis() + " ms.")),
-						this.limits.timeoutMillis(), TimeUnit.MILLISECONDS);
-			this.channel = this.exchange.getRequestChannel();
-			if (!this.reservation.extendTo(Math.min(this.limits.maxBytes(), this.exchange.getRequestContentLength()))) {
-				fail(overloaded());
-				return;
-			}
-			read();
-		});
+		this.exchange.dispatch(SameThreadExecutor.INSTANCE,
+				() -> FailedExchange.confine(this.exchange, this::startReading));
+	}
+
+	private void startReading() {
+		if (this.exchange.isRequestComplete()) {
+			complete();
+			return;
+		}
+		this.timeout = this.exchange.getIoThread()
+			.executeAfter(
+					() -> giveUp(Problem.notRun(ProblemKind.SLOW_REQUEST,
+							"The body did not arrive within " + this.limits.timeoutMillis() + " ms.")),
+					this.limits.timeoutMillis(), TimeUnit.MILLISECONDS);
+		this.channel = this.exchange.getRequestChannel();
+		if (!this.reservation.extendTo(Math.min(this.limits.maxBytes(), this.exchange.getRequestContentLength()))) {
+			fail(overloaded());
+			return;
+		}
+		readNext();
 	}
 
 	/**
@@ -96,10 +99,14 @@
 	 * @param problem the reason
 	 */
 	void giveUp(Problem problem) {
-		fail(problem);
+		FailedExchange.confine(this.exchange, () -> fail(problem));
 	}
 
 	private void read() {
+		FailedExchange.confine(this.exchange, this::readNext);
+	}
+
+	private void readNext() {
 		try (PooledByteBuffer pooled = this.exchange.getConnection().getByteBufferPool().allocate()) {
 			readTurn(pooled.getBuffer());
 		}
--- a/rattanhead-http/src/test/java/org/rattanhead/http/forward/FailingCodecTests.java
+++ b/rattanhead-http/src/test/java/org/rattanhead/http/forward/FailingCodecTests.java
@@ -31,12 +31,13 @@
 	private static final String HEAD = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
 
 	/** Guards against LOST: callers and connections that wait for ever. */
-	@ParameterizedTest(name = "body later: {0}, refusals fail too: {1}")
-	@CsvSource({ "false, false", "true, false", "false, true", "true, true" })
-	void answersEveryRequestOfTheConnection(boolean bodyLater, boolean refusalsFail) throws Exception {
+	@ParameterizedTest(name = "body later: {0}, refusals fail too: {1}, by errors: {2}")
+	@CsvSource({ "false, false, false", "true, false, false", "false, true, false", "true, true, false",
+			"false, true, true", "true, false, true", "true, true, true" })
+	void answersEveryRequestOfTheConnection(boolean bodyLater, boolean refusalsFail, boolean errors) throws Exception {
 		InetSocketAddress address = freeAddress();
 		ForwardSettings settings = new ForwardSettings(address, 8192, 8192, 2_000, 2_000, 10_000);
-		try (ForwardFrontEnd frontEnd = new ForwardFrontEnd("self", settings, new FailingCodec(refusalsFail),
+		try (ForwardFrontEnd frontEnd = new ForwardFrontEnd("self", settings, new FailingCodec(refusalsFail, errors),
 				(event, urgency) -> true, List.of()); Socket socket = new Socket("127.0.0.1", address.getPort())) {
 			socket.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
 			for (int request = 0; request < 3; request++) {
@@ -69,21 +70,28 @@
 		}
 	}
 
-	private record FailingCodec(boolean refusalsFail) implements ForwardCodec {
+	private record FailingCodec(boolean refusalsFail, boolean errors) implements ForwardCodec {
 
 		@Override
 		public ForwardRequest decode(RequestHead head, Payload body) {
-			throw new IllegalStateException("decoder fault");
+			throw fault("decoder fault");
 		}
 
 		@Override
 		public RefusalReply refuse(Problem problem) {
 			if (this.refusalsFail) {
-				throw new IllegalStateException("encoder fault");
+				throw fault("encoder fault");
 			}
 			return new RefusalReply(problem.kind().status(), List.of(), Payload.of(""));
 		}
 
+		private RuntimeException fault(String message) {
+			if (this.errors) {
+				throw new StackOverflowError(message);
+			}
+			return new IllegalStateException(message);
+		}
+
 	}
 
 }
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseOutbox.java
@@ -124,9 +124,9 @@
 			}
 			newEnd.run();
 		}
-		catch (RuntimeException ex) {
-			LOGGER.error("server: a response cannot be written; its caller gets status 500 or a closed connection", ex);
+		catch (RuntimeException | Error ex) {
 			this.writer.fail();
+			LOGGER.error("server: a response cannot be written; its caller gets status 500 or a closed connection", ex);
 		}
 		if (bulk) {
 			this.turns.add(this::run);
--- a/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
+++ b/rattanhead-server/src/main/java/org/rattanhead/server/ResponseWriter.java
@@ -127,6 +127,17 @@
 			close();
 			return;
 		}
+		try {
+			endWithStatus500();
+		}
+		catch (RuntimeException | Error ex) {
+			close();
+			throw ex;
+		}
+		this.onDisconnect.run();
+	}
+
+	private void endWithStatus500() {
 		this.pending.clear();
 		this.pendingBytes = 0;
 		this.exchange.getResponseHeaders().clear();
@@ -134,7 +145,6 @@
 		this.exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
 		this.exchange.setPersistent(false);
 		end();
-		this.onDisconnect.run();
 	}
 
 	private void flushPending() {
--- a/rattanhead-server/src/test/java/org/rattanhead/server/FailedResponseTests.java
+++ b/rattanhead-server/src/test/java/org/rattanhead/server/FailedResponseTests.java
@@ -26,16 +26,17 @@
 	private static final int ANSWER_TIMEOUT_MILLIS = 2_000;
 
 	/** Guards against LOST and MIXED: no answer, or a body under the default status. */
-	@ParameterizedTest(name = "{0} bytes, each part alone: {1}")
-	@CsvSource({ "10, false", "10, true", "100000, false", "100000, true" })
-	void answersWithStatus500(int bytes, boolean separately) throws Exception {
+	@ParameterizedTest(name = "{0} bytes, each part alone: {1}, by an error: {2}")
+	@CsvSource({ "10, false, false", "10, true, false", "100000, false, false", "100000, true, false",
+			"10, false, true", "100000, true, true" })
+	void answersWithStatus500(int bytes, boolean separately, boolean error) throws Exception {
 		CompletableFuture<Void> disconnected = new CompletableFuture<>();
 		Undertow server = Undertow.builder()
 			.setIoThreads(1)
 			.setWorkerThreads(1)
 			.addHttpListener(0, "127.0.0.1")
 			.setHandler((exchange) -> exchange.dispatch(SameThreadExecutor.INSTANCE,
-					() -> respond(exchange, bytes, separately, () -> disconnected.complete(null))))
+					() -> respond(exchange, bytes, separately, error, () -> disconnected.complete(null))))
 			.build();
 		server.start();
 		InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
@@ -51,7 +52,8 @@
 		}
 	}
 
-	private static void respond(HttpServerExchange exchange, int bytes, boolean separately, Runnable onDisconnect) {
+	private static void respond(HttpServerExchange exchange, int bytes, boolean separately, boolean error,
+			Runnable onDisconnect) {
 		ResponseWriter writer = new ResponseWriter(exchange, onDisconnect);
 		TurnQueue turns = new TurnQueue(
 				(round) -> exchange.getIoThread().executeAfter(round, 1, TimeUnit.MILLISECONDS));
@@ -59,6 +61,9 @@
 				turns);
 		outbox.begin(() -> {
 			exchange.getResponseHeaders().put(new HttpString("X-Signature"), "s");
+			if (error) {
+				throw new OutOfMemoryError("expected by the test");
+			}
 			throw new IllegalArgumentException("head");
 		});
 		outbox.write(Payload.of("x".repeat(bytes)));
