Report a call as not sent only while it has no connection

Cause: HttpClient.start reported every failure on its own thread as not sent, also after the I/O thread had got the connection and sent the request. Evidence: by reading; it needs an error on that thread after the connect has begun, and no test provokes it. Change: as at a timeout: not sent while the call is connecting, broken otherwise.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/HttpClient.java
@@ -101,8 +101,10 @@
 			pooled.ifPresentOrElse(exchange::run, () -> connect(call.address(), exchange));
 		}
 		catch (RuntimeException | Error ex) {
-			// Only the I/O threads send.
-			exchange.fail(CallFailure.NOT_SENT, "the call could not be started: " + ex);
+			// The connection may be open already, and its I/O thread may have sent.
+			String detail = "the call could not be started: " + ex;
+			exchange.connectFailed(detail);
+			exchange.fail(CallFailure.BROKEN, detail);
 		}
 		return exchange;
 	}
