Confine the last steps of a decision

Cause: these two steps ran outside RuleFaults.confine. Evidence: by reading; no trigger is known. Change: both are confined; after a failed admission the refusal comes before the log line. Result: RuleFaultTests, 36 rows, pass.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -87,8 +87,8 @@
 	public List<ForwardCommand> decide(ForwardEvent event, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>(this.events.handle(event, nowNanos));
 		this.faults.confine(commands, () -> this.crashes.applyChanges(nowNanos, commands));
-		commands.removeIf((command) -> !this.notices.permits(command, nowNanos));
-		this.limits.countOrders(commands, nowNanos);
+		this.faults.confine(commands, () -> commands.removeIf((command) -> !this.notices.permits(command, nowNanos)));
+		this.faults.confine(commands, () -> this.limits.countOrders(commands, nowNanos));
 		if (this.draining && this.state.idle()) {
 			commands.add(new ForwardDrained());
 		}
@@ -156,8 +156,8 @@
 			commands.add(new RefuseRequest(request.id(), ex.problem()));
 		}
 		catch (RuntimeException | Error ex) {
-			commands.add(RuleFaults.log(request.id().value(), ex));
 			commands.add(new RefuseRequest(request.id(), AttemptProblems.ruleFailed()));
+			commands.add(RuleFaults.log(request.id().value(), ex));
 		}
 		return commands;
 	}
