Bound the small request bodies together

Cause: bodies of up to 64 KiB used no budget, so that large ones left room for them; nothing bounded their sum.

--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/BodyReservation.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/BodyReservation.java
@@ -4,17 +4,13 @@
 import io.undertow.util.AttachmentKey;
 
 /**
- * The part of the budget that one request body uses. A small body is always admitted, so
- * that short requests go through beside large ones. Confined to one thread until it is
+ * The part of the budget that one request body uses. Confined to one thread until it is
  * closed.
  */
 final class BodyReservation implements AutoCloseable {
 
 	private static final AttachmentKey<BodyReservation> ATTACHMENT_KEY = AttachmentKey.create(BodyReservation.class);
 
-	/** Bodies up to this size use no budget. */
-	private static final long FREE_BYTES = 64 * 1024;
-
 	private final BodyBudget budget;
 
 	private long reservedBytes;
@@ -60,14 +56,13 @@
 	 * @return false if the budget is used up
 	 */
 	synchronized boolean extendTo(long bodyBytes) {
-		long missingBytes = bodyBytes - FREE_BYTES - this.reservedBytes;
-		if (this.closed || missingBytes <= 0) {
+		if (this.closed || bodyBytes <= this.reservedBytes) {
 			return true;
 		}
-		if (!this.budget.reserve(missingBytes)) {
+		if (!this.budget.extend(this.reservedBytes, bodyBytes)) {
 			return false;
 		}
-		this.reservedBytes += missingBytes;
+		this.reservedBytes = bodyBytes;
 		return true;
 	}
 
