End a process that loses a thread

Cause: only duties noticed the loss of their thread. Change: LostThreadHandler, for all threads of a daemon: the loss is logged, and the process exits with status 70 through its shutdown hooks. The loss in a process was not provoked again.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/DaemonMain.java
@@ -7,6 +7,7 @@
 import org.rattanhead.daemon.gateway.Rehearsal;
 import org.rattanhead.ring.DeferredAction;
 import org.rattanhead.ring.HangupSignal;
+import org.rattanhead.ring.LostThreadHandler;
 import org.rattanhead.ring.ShutdownHook;
 import org.rattanhead.settings.IniFile;
 import org.rattanhead.settings.SettingsException;
@@ -29,6 +30,7 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
+		LostThreadHandler.install();
 		DeferredAction hangup = new DeferredAction();
 		Runnable restoreHangup = HangupSignal.register(hangup);
 		System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
