Deliver what was read before the connection of a call broke

Parts of an answer that had arrived before its connection broke were at times lost, so that a caller of a stream missed events that its instance had sent.

Cause: the HTTP library closes the connection inside the read that finds a broken chunk or the end of the stream, and reports the close while the bytes read so far are in the buffer; Exchange failed the call at once, as if no reply had begun. Change: a close that is reported during a read of the body fails the reply after the bytes are delivered.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -43,6 +43,8 @@
 
 	private int turnReads;
 
+	private boolean reading;
+
 	private boolean endReached;
 
 	private IOException failure;
@@ -87,6 +89,18 @@
 		}
 	}
 
+	/**
+	 * Fails the reply after the bytes of the read in progress are delivered.
+	 * @param cause the cause
+	 * @return false if no read is in progress; the reply does not fail then
+	 */
+	boolean failAfterDelivery(IOException cause) {
+		if (this.reading && this.failure == null) {
+			this.failure = cause;
+		}
+		return this.reading;
+	}
+
 	private void readTurn(ByteBuffer buffer) throws IOException {
 		this.turnReads = 0;
 		int turnBytes = 0;
@@ -125,6 +139,7 @@
 	 */
 	private boolean fill(ByteBuffer buffer) {
 		int count = 1;
+		this.reading = true;
 		try {
 			while (count > 0 && buffer.hasRemaining() && this.turnReads < TurnQueue.MAX_TURN_READS && !this.endReached
 					&& this.failure == null) {
@@ -136,6 +151,9 @@
 		catch (IOException ex) {
 			this.failure = ex;
 		}
+		finally {
+			this.reading = false;
+		}
 		return count == 0;
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -249,11 +249,12 @@
 
 			@Override
 			public void failed(IOException ex) {
-				fail(CallFailure.BROKEN, "the connection broke before the reply: " + ex.getMessage());
+				connectionClosed(ex);
 			}
 		});
 		ByteBuffer body = ByteBuffer.wrap(this.call.body().bytes());
-		this.bodyWriter = new BodyWriter(exchange.getRequestChannel(), body, this::requestBodyFailed, this::confine);
+		this.bodyWriter = new BodyWriter(exchange.getRequestChannel(), body,
+				(ex) -> fail(CallFailure.BROKEN, "the connection broke: " + ex.getMessage()), this::confine);
 		this.bodyWriter.write();
 	}
 
@@ -281,8 +282,11 @@
 		this.bodyReader.read();
 	}
 
-	private void requestBodyFailed(IOException ex) {
-		fail(CallFailure.BROKEN, "the connection broke: " + ex.getMessage());
+	private void connectionClosed(IOException failure) {
+		// The HTTP library closes the connection inside the read that finds it broken.
+		if (this.bodyReader == null || !this.bodyReader.failAfterDelivery(failure)) {
+			fail(CallFailure.BROKEN, "the connection broke before the reply: " + failure.getMessage());
+		}
 	}
 
 	private static List<HttpField> fields(ClientResponse response) {
