Let gateway processes of tests listen below the ports of outgoing connections

A free port was looked up among the ports of outgoing connections, released, and taken by one of thousands of them before the process listened on it. Change: ports from 12,000 to 31,999, in turn from a random one on, each tried before it is used.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcess.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayProcess.java
@@ -2,12 +2,15 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.rattanhead.daemon.DaemonMain;
 
@@ -18,6 +21,14 @@
 
 	private static final long EXIT_TIMEOUT_SECONDS = 8;
 
+	private static final int FIRST_PORT = 12_000;
+
+	private static final int PORTS = 20_000;
+
+	private static final int MAX_PORT_ATTEMPTS = 1_000;
+
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger(new Random().nextInt(PORTS));
+
 	private final Path folder;
 
 	private final Path settings;
@@ -127,9 +138,17 @@
 	}
 
 	private static InetSocketAddress freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+		// Below the ports of outgoing connections, which would take it until it is used.
+		for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+			int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+			}
+			catch (BindException ex) {
+				// In use; the next one is tried.
+			}
 		}
+		throw new IOException("No port from " + FIRST_PORT + " on is free");
 	}
 
 	@Override
