Bound the maps of instances in one type

Cause: InstanceLimits repeated the anonymous map of InstanceNotices that removes its oldest entry. Change: BoundedMap serves both. AnsweredKeys keeps its own, which goes by the last access.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceLimits.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceLimits.java
@@ -1,6 +1,5 @@
 package org.rattanhead.decision.limit;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -8,6 +7,7 @@
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.LimitReport;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.BoundedMap;
 
 /**
  * The limits that instances have named, by id. A limit binds its incarnation. Answers on
@@ -18,16 +18,7 @@
 
 	private static final int MAX_INSTANCES = 4_096;
 
-	private final Map<String, NamedLimit> byId = new LinkedHashMap<>() {
-
-		private static final long serialVersionUID = 1L;
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, NamedLimit> eldest) {
-			return size() > MAX_INSTANCES;
-		}
-
-	};
+	private final Map<String, NamedLimit> byId = new BoundedMap<>(MAX_INSTANCES);
 
 	/**
 	 * Records the limit of an answer of any age.
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/notice/InstanceNotices.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/notice/InstanceNotices.java
@@ -1,9 +1,9 @@
 package org.rattanhead.decision.notice;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.BoundedMap;
 
 /**
  * The notices of instances by id. A notice binds its incarnation and older ones, whatever
@@ -13,16 +13,7 @@
 
 	private static final int MAX_INSTANCES = 4_096;
 
-	private final Map<String, InstanceNotice> byId = new LinkedHashMap<>() {
-
-		private static final long serialVersionUID = 1L;
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, InstanceNotice> eldest) {
-			return size() > MAX_INSTANCES;
-		}
-
-	};
+	private final Map<String, InstanceNotice> byId = new BoundedMap<>(MAX_INSTANCES);
 
 	/**
 	 * Records that an instance leaves.
