--- a/review/rig-2/Rig.java
+++ b/review/Rig.java
@@ -58,9 +58,9 @@
 
 	private final PrintWriter record;
 
-	Rig(Path caseFolder) throws IOException {
+	Rig(Path recordFile) throws IOException {
 		this.folder = Files.createTempDirectory("review");
-		this.record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
+		this.record = new PrintWriter(Files.newBufferedWriter(recordFile));
 		this.store = new Store();
 		Runtime.getRuntime().addShutdownHook(new Thread(this::stopProcesses));
 	}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-sources=(review/rig-2/*.java)
-for folder in review/{6,7,8,9,10}; do
+sources=(review/Rig.java review/Prompts.java)
+for folder in review/{6,8,9,10}; do
 	for file in "$folder"/*.java; do
 		[ ! -f "$file" ] || sources+=("$file")
 	done
