Name no length in answers to HEAD

Callers of HEAD got "Content-Length: 0", whatever the instance had answered. RFC 9110, section 8.6, allows the field in an answer to HEAD only with the length that the answer to GET would have.

Cause: a relayed answer gets the length of its body, which HEAD does not have.

Change: ForwardStream leaves the length out where the request is HEAD. 204 and 304 were right before, since the HTTP library removes it.

--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/AnswerFormTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/AnswerFormTests.java
@@ -125,7 +125,7 @@
 
 	/** RFC 9110, section 8.6, and RFC 9112, section 6.1. */
 	private static Pattern forbiddenFraming(WireReply reply) {
-		boolean describesOther = reply.outcome().startsWith("304");
+		boolean describesOther = reply.method().equals("HEAD") || reply.outcome().startsWith("304");
 		boolean none = reply.outcome().startsWith("204");
 		return Pattern
 			.compile("(?i)\r\n("
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardStream.java
@@ -7,6 +7,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -26,6 +27,8 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(ForwardStream.class);
 
+	private static final long UNKNOWN_LENGTH = -1;
+
 	private final HttpServerExchange exchange;
 
 	private final ResponseWriter writer;
@@ -50,7 +53,9 @@
 				// before end() runs.
 				this.disconnectDetector.stop();
 			}
-			setHead(command.status(), command.fields(), command.lengthBytes(), closing);
+			// The answer to HEAD has no body, so its length is not that of the resource.
+			boolean headOnly = this.exchange.getRequestMethod().equals(Methods.HEAD);
+			setHead(command.status(), command.fields(), headOnly ? UNKNOWN_LENGTH : command.lengthBytes(), closing);
 		});
 	}
 
