Reject events after the end marker of an engine's stream

An engine's stream that went on after its end marker, or had text behind it on its line, was passed on as a complete answer.

Cause: the reader remembered that it had seen a line that starts with the marker, and looked at nothing after it but the last event's end.

Change: the marker is a line of its own, and data after it makes the stream invalid. Comments may follow.

Evidence: three rows of AnswerObserverTests, which failed before.

--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/EventStreamReader.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/internal/EventStreamReader.java
@@ -12,7 +12,7 @@
 
 /**
  * Reads server-sent events. Only complete events are passed on. Each event must belong to
- * the attempt, and the stream must contain the end marker and end with a complete event.
+ * the attempt, and the last one must be the end marker.
  */
 final class EventStreamReader implements AnswerReader {
 
@@ -76,7 +76,10 @@
 
 	private void check(Payload events) throws InvalidAnswerException {
 		for (String line : events.text().split("\n")) {
-			if (line.startsWith(END_MARKER)) {
+			if (this.endMarkerRead && line.startsWith(DATA)) {
+				throw new InvalidAnswerException("the event stream went on after its end marker", false);
+			}
+			if (line.equals(END_MARKER)) {
 				this.endMarkerRead = true;
 			}
 			else if (line.startsWith(DATA)) {
