Report a stream without its end marker as incomplete

'rattanhead ask' ended with success after a part of an answer, if its stream ended without the end marker.

Cause: the marker was skipped, and its absence not noticed.

Change: success needs the marker; without it the command says that the answer is incomplete and what to do.

--- a/rattanhead-cli/src/main/java/org/rattanhead/cli/request/PrintingObserver.java
+++ b/rattanhead-cli/src/main/java/org/rattanhead/cli/request/PrintingObserver.java
@@ -35,6 +35,8 @@
 
 	private HttpHead head;
 
+	private boolean complete;
+
 	PrintingObserver(PrintStream out, PrintStream err, CompletableFuture<ExitCode> done) {
 		this.out = out;
 		this.err = err;
@@ -61,7 +63,10 @@
 	public void onEnd() {
 		if (this.head.status() == OK) {
 			this.out.println();
-			this.done.complete(this.problem.isEmpty() ? ExitCode.OK : ExitCode.FAILED);
+			if (!this.complete && this.problem.isEmpty()) {
+				this.err.println("The answer is incomplete: its stream has no end marker; send the request again");
+			}
+			this.done.complete((this.complete && this.problem.isEmpty()) ? ExitCode.OK : ExitCode.FAILED);
 		}
 		else {
 			report(this.problem.toString());
@@ -77,6 +82,7 @@
 
 	private void print(String data) {
 		if (SseParser.END.equals(data)) {
+			this.complete = true;
 			return;
 		}
 		JsonNode node = parse(data);
--- /dev/null
+++ b/rattanhead-cli/src/test/java/org/rattanhead/cli/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the commands that send requests.
+ */
+package org.rattanhead.cli.request;
