Reject a tunnel in reply to CONNECT

A caller that sent CONNECT got the 200 of the instance with a length and a body. RFC 9110, section 9.3.6, allows neither: after a success the connection is a tunnel, which the gateway does not relay.

Cause: the reply was read like that to any other method.

Change: the reader rejects a success in reply to CONNECT, and the caller gets 502. Rewritten heads have a status that the HTTP library does not take for a tunnel, since it did so with any rejection of CONNECT as well.

Evidence: four rows of WireReplyTests, which failed before.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyFraming.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyFraming.java
@@ -48,6 +48,9 @@
 		if (chunked && measured) {
 			throw new MalformedReplyException("the server sent a reply with both a length and chunks");
 		}
+		if (method.equals("CONNECT") && statusLine.success()) {
+			throw new MalformedReplyException("the server opened a tunnel, which no caller of this client can use");
+		}
 		boolean persistent = persistent(statusLine, fields);
 		int status = statusLine.status();
 		if (statusLine.interim() || SUCCESS_WITHOUT_CONTENT.contains(status)) {
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyReader.java
@@ -24,6 +24,9 @@
 
 	private static final int RESET_CONTENT = 205;
 
+	/** A status to which the HTTP library gives no meaning with any method. */
+	private static final String STATUS_LINE = "HTTP/1.1 400 Rewritten\r\n";
+
 	private static final String LINE_END = "\r\n";
 
 	private static final String LAST_CHUNK = "0\r\n\r\n";
@@ -221,8 +224,8 @@
 		this.bodyBytes = newFraming.lengthBytes();
 		boolean chunked = newFraming.end() == BodyEnd.LAST_CHUNK || newFraming.end() == BodyEnd.CONNECTION;
 		this.complete = !chunked && this.bodyBytes == 0;
-		rewrite("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + this.bodyBytes)
-				+ LINE_END + LINE_END);
+		rewrite(STATUS_LINE + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + this.bodyBytes) + LINE_END
+				+ LINE_END);
 	}
 
 	private void readChunkLine(String text) throws MalformedReplyException {
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/StatusLine.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/StatusLine.java
@@ -12,7 +12,9 @@
  */
 record StatusLine(int minorVersion, int status) {
 
-	private static final int FIRST_FINAL_STATUS = 200;
+	private static final int FIRST_SUCCESS = 200;
+
+	private static final int FIRST_REDIRECTION = 300;
 
 	/**
 	 * The status codes are those of RFC 9110, section 15. The space after the status is
@@ -29,7 +31,11 @@
 	}
 
 	boolean interim() {
-		return this.status < FIRST_FINAL_STATUS;
+		return this.status < FIRST_SUCCESS;
+	}
+
+	boolean success() {
+		return this.status >= FIRST_SUCCESS && this.status < FIRST_REDIRECTION;
 	}
 
 }
--- a/rattanhead-client/src/test/java/org/rattanhead/client/WireReplyTests.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/WireReplyTests.java
@@ -32,7 +32,8 @@
 	private static final String SPECIAL_PATH = "/special";
 
 	static Stream<Arguments> replies() {
-		return WireReplies.all().flatMap((reply) -> Stream.of(false, true).map((kept) -> Arguments.of(reply, kept)));
+		return Stream.concat(WireReplies.all(), WireReplies.tunnels())
+			.flatMap((reply) -> Stream.of(false, true).map((kept) -> Arguments.of(reply, kept)));
 	}
 
 	/**
--- a/rattanhead-client/src/test/java/org/rattanhead/client/wire/WireReplies.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/wire/WireReplies.java
@@ -44,6 +44,17 @@
 			.flatMap(List::stream);
 	}
 
+	/**
+	 * Lists replies to CONNECT: RFC 9110, section 9.3.6.
+	 * @return the replies
+	 */
+	public static Stream<WireReply> tunnels() {
+		return Stream.of(
+				new WireReply("CONNECT accepted", "CONNECT", head("200 OK", LENGTH) + BODY, WireEnd.KEEPS, INVALID),
+				new WireReply("CONNECT rejected", "CONNECT", head("405 No", LENGTH) + BODY, WireEnd.KEEPS,
+						"405 " + BODY));
+	}
+
 	/** Section 4, and RFC 9110, sections 2.5 and 15. */
 	private static List<WireReply> statusLines() {
 		return List.of(statusLine("reason phrase empty", "HTTP/1.1 200 ", OK),
