Hold no memory of a head or a long line between calls

A connection kept the fields of its last reply and room for its longest line, up to 128 KiB each, as long as it was idle. The head is handed over once, and each line has a builder of its own. Found by reading; no test shows it.

A row with a long extension guards the patterns against deep recursion.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -264,7 +264,7 @@
 			return;
 		}
 		// The HTTP library knows only the framing of the reply.
-		HttpHead head = this.connection.replies().head();
+		HttpHead head = this.connection.replies().takeHead().orElseThrow();
 		Matcher keepAlive = KEEP_ALIVE_SECONDS.matcher(head.field("Keep-Alive"));
 		if (keepAlive.find()) {
 			this.reuseMillis = Math.round(KEEP_ALIVE_FRACTION * MILLIS_PER_SECOND * Long.parseLong(keepAlive.group(1)));
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/HttpText.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/HttpText.java
@@ -1,5 +1,6 @@
 package org.rattanhead.client.internal;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -54,7 +55,7 @@
 	static List<String> elements(List<HttpField> fields, String name) {
 		return fields.stream()
 			.filter((field) -> field.name().equalsIgnoreCase(name))
-			.flatMap((field) -> List.of(field.value().split(",")).stream())
+			.flatMap((field) -> Arrays.stream(field.value().split(",")))
 			.map((element) -> trim(element).toLowerCase(Locale.ROOT))
 			.filter((element) -> !element.isEmpty())
 			.toList();
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyConduit.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyConduit.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.ByteBufferPool;
@@ -62,11 +63,11 @@
 	}
 
 	/**
-	 * Returns the head of the reply.
-	 * @return the head, null until it is complete
+	 * Returns the head of the reply, once.
+	 * @return the head, empty until it is complete
 	 */
-	HttpHead head() {
-		return this.reader.head();
+	Optional<HttpHead> takeHead() {
+		return this.reader.takeHead();
 	}
 
 	/**
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyReader.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 import org.rattanhead.client.HttpHead;
@@ -46,7 +47,7 @@
 
 	private final LineRule trailerRule = new LineRule(FieldLine.SYNTAX, true, this::readTrailer);
 
-	private final StringBuilder line = new StringBuilder();
+	private StringBuilder line = new StringBuilder();
 
 	private final List<HttpField> fields = new ArrayList<>();
 
@@ -82,11 +83,13 @@
 	}
 
 	/**
-	 * Returns the head of the reply.
-	 * @return the head, null until it is complete
+	 * Returns the head of the reply and forgets it, since idle connections are many.
+	 * @return the head, empty until it is complete
 	 */
-	HttpHead head() {
-		return this.head;
+	Optional<HttpHead> takeHead() {
+		Optional<HttpHead> taken = Optional.ofNullable(this.head);
+		this.head = null;
+		return taken;
 	}
 
 	/**
@@ -182,7 +185,8 @@
 			char next = (char) Byte.toUnsignedInt(source.get());
 			if (next == '\n') {
 				String text = this.line.toString();
-				this.line.setLength(0);
+				// A builder keeps the memory of its longest line.
+				this.line = new StringBuilder();
 				this.rule.accept(text);
 				return;
 			}
--- a/rattanhead-client/src/test/java/org/rattanhead/client/wire/WireReplies.java
+++ b/rattanhead-client/src/test/java/org/rattanhead/client/wire/WireReplies.java
@@ -205,6 +205,7 @@
 				chunks("leading zeros", "00000000000000000000f\r\n" + BODY + "\r\n0000\r\n\r\n", OK),
 				chunks("two", "1\r\ni\r\ne\r\n" + BODY.substring(1) + "\r\n0\r\n\r\n", OK),
 				chunks("extensions", "f;a;b=c ; d = \"e;f\\\"\"\r\n" + BODY + "\r\n0;g\r\n\r\n", OK),
+				chunks("long extension", "f;a=\"" + "\\x".repeat(480) + "\"\r\n" + BODY + "\r\n0\r\n\r\n", OK),
 				chunks("trailer", "f\r\n" + BODY + "\r\n0\r\nX-A: b\r\nX-B:\r\n\r\n", OK),
 				chunks("no size", "\r\n" + BODY + "\r\n0\r\n\r\n", INVALID),
 				chunks("size that is no number", "g\r\n" + BODY + "\r\n0\r\n\r\n", INVALID),
