--- /dev/null
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of calls to upstreams.
+ */
+package org.rattanhead.upstream;
