Divide the reader of streams by duty

Change: StreamProgress holds the position and the pages, StreamRecords the records and whom they are reported to, SnapshotExchange the requests between daemons; StreamReader decides when to read and what follows. No change of behaviour.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -1,8 +1,7 @@
 package org.rattanhead.platform.keyed;
 
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -29,20 +28,12 @@
 	/** The pause between two requests for a snapshot. */
 	private static final long REQUEST_MILLIS = 200;
 
-	private static final long NO_OFFSET = -1;
-
 	private final KeyedStore store;
 
 	private final Supplier<FollowPlan> plan;
 
 	private final KeyedStream stream;
 
-	private final KeyedListener listener;
-
-	private final StreamPeers peers;
-
-	private final ListenerNotifications notifications;
-
 	private final ReadSchedule schedule;
 
 	private final FollowTimer timer;
@@ -51,19 +42,14 @@
 
 	private final HandlerTable<FollowEvent, Boolean> handlers;
 
-	private final CollectedPages collected = new CollectedPages(RecordBudget.ofHeap());
-
-	private final NewestRecords newest;
+	private final StreamProgress progress = new StreamProgress();
 
-	/** Hosts that requested a snapshot before this daemon had one. */
-	private final Set<String> requesters = new LinkedHashSet<>();
+	private final StreamRecords records;
 
-	private long nextOffset = NO_OFFSET;
+	private final SnapshotExchange snapshots;
 
 	private boolean failing;
 
-	private boolean readingNewest = true;
-
 	private boolean readPending;
 
 	private long timerNumber;
@@ -83,11 +69,9 @@
 		this.store = store;
 		this.plan = plan;
 		this.stream = plan.get().stream();
-		this.newest = new NewestRecords(this.stream, RecordBudget.ofHeap());
-		this.notifications = new ListenerNotifications(this.stream);
+		this.records = new StreamRecords(this.stream, listener, peers);
+		this.snapshots = new SnapshotExchange(this.stream, peers);
 		this.schedule = schedule;
-		this.listener = listener;
-		this.peers = peers;
 		this.timer = timer;
 		this.events = events;
 		this.handlers = new HandlerTable<FollowEvent, Boolean>()
@@ -121,12 +105,12 @@
 
 	private void read(long nowNanos) {
 		this.readPending = true;
-		long fromOffset = this.nextOffset;
+		long fromOffset = this.progress.nextOffset();
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
 		long waitMillis = (this.schedule.isReader(nowNanos) && !this.failing) ? this.plan.get().waitMillis() : 0;
-		CompletableFuture<KeyedPage> page = this.readingNewest
-				? this.store.newest(this.stream, this.collected.lastKey())
+		CompletableFuture<KeyedPage> page = this.progress.readingNewest()
+				? this.store.newest(this.stream, this.progress.lastKey())
 				: this.store.changes(this.stream, fromOffset, waitMillis);
 		page.whenComplete((read, failure) -> this.events
 			.accept((failure != null) ? new ReadFailed(failure) : new PageArrived(fromOffset, read)));
@@ -138,11 +122,10 @@
 		KeyedPage page = event.page();
 		if (page.trimmed()) {
 			LOGGER.info("platform: stream {} has a gap; reading the newest record of each key", this.stream);
-			this.readingNewest = true;
-			this.nextOffset = NO_OFFSET;
+			this.progress.restart();
 			read(nowNanos);
 		}
-		else if (this.readingNewest) {
+		else if (this.progress.readingNewest()) {
 			collectNewest(page, nowNanos);
 		}
 		else {
@@ -152,35 +135,30 @@
 	}
 
 	private void collectNewest(KeyedPage page, long nowNanos) {
+		Optional<List<KeyedRecord>> newest;
 		try {
-			this.collected.add(page);
+			newest = this.progress.collect(page);
 		}
 		catch (RemedyException ex) {
-			this.nextOffset = NO_OFFSET;
 			onReadFailed(ex, nowNanos);
 			return;
 		}
-		this.nextOffset = (this.nextOffset == NO_OFFSET) ? page.nextOffset() : this.nextOffset;
-		if (page.more()) {
+		if (newest.isEmpty()) {
 			read(nowNanos);
 			return;
 		}
-		this.readingNewest = false;
 		this.schedule.newestRead(nowNanos);
-		replaceAll(this.collected.take(), nowNanos);
+		replaceAll(newest.get(), nowNanos);
 		scheduleRead(nowNanos);
 	}
 
-	private void replaceAll(List<KeyedRecord> records, long nowNanos) {
-		List<KeyedRecord> kept = this.newest.replace(records);
-		this.notifications.run(() -> this.listener.onNewest(kept));
-		List<String> hosts = List.copyOf(this.requesters);
-		this.requesters.clear();
-		hosts.forEach((host) -> onSnapshotRequested(host, nowNanos));
+	private void replaceAll(List<KeyedRecord> newest, long nowNanos) {
+		this.records.replace(newest);
+		this.snapshots.takeWaiting().forEach((host) -> onSnapshotRequested(host, nowNanos));
 	}
 
 	private boolean onPeersKnown(boolean others, long nowNanos) {
-		if (!this.readingNewest || this.readPending) {
+		if (!this.progress.readingNewest() || this.readPending) {
 			return false;
 		}
 		if (others) {
@@ -191,42 +169,38 @@
 	}
 
 	private boolean onPeerContacted(String host) {
-		if (this.readingNewest) {
-			this.peers.requestSnapshot(this.stream, host);
+		if (this.progress.readingNewest()) {
+			this.snapshots.request(host);
 		}
-		return this.readingNewest;
+		return this.progress.readingNewest();
 	}
 
 	private boolean requestSnapshot() {
-		if (!this.readingNewest) {
+		if (!this.progress.readingNewest()) {
 			return false;
 		}
-		this.peers.requestSnapshot(this.stream, "");
+		this.snapshots.request("");
 		this.timer.after(REQUEST_MILLIS, () -> this.events.accept(new RequestDue()));
 		return true;
 	}
 
 	private boolean onSnapshotRequested(String host, long nowNanos) {
-		if (this.readingNewest) {
-			this.requesters.add(host);
+		if (this.progress.readingNewest()) {
+			this.snapshots.postpone(host);
 			return false;
 		}
-		List<KeyedRecord> records = this.newest.all();
-		if (!this.schedule.isCurrent(nowNanos) || !NewestRecords.fitMessage(records)) {
-			return false;
-		}
-		this.peers.sendSnapshot(host, new StreamUpdate(this.stream, this.nextOffset, this.nextOffset, records));
-		return true;
+		long nextOffset = this.progress.nextOffset();
+		return this.schedule.isCurrent(nowNanos) && this.snapshots.supply(host,
+				new StreamUpdate(this.stream, nextOffset, nextOffset, this.records.all()));
 	}
 
 	private boolean onSnapshot(StreamUpdate snapshot, long nowNanos) {
-		boolean older = !this.readingNewest && snapshot.nextOffset() <= this.nextOffset;
-		if (older || (this.readingNewest && this.readPending)) {
+		boolean readingNewest = this.progress.readingNewest();
+		boolean older = !readingNewest && snapshot.nextOffset() <= this.progress.nextOffset();
+		if (older || (readingNewest && this.readPending)) {
 			return false;
 		}
-		this.readingNewest = false;
-		this.collected.clear();
-		this.nextOffset = snapshot.nextOffset();
+		this.progress.continueAfter(snapshot.nextOffset());
 		this.schedule.updateReceived(true, nowNanos);
 		replaceAll(snapshot.records(), nowNanos);
 		scheduleRead(nowNanos);
@@ -234,16 +208,12 @@
 	}
 
 	private void applyChanges(long fromOffset, KeyedPage page, long nowNanos) {
-		if (page.nextOffset() >= this.nextOffset) {
-			KeyedPage rest = StreamUpdates.skip(page, fromOffset, this.nextOffset);
-			long restOffset = StreamUpdates.isComplete(page, fromOffset) ? this.nextOffset : fromOffset;
-			this.nextOffset = page.nextOffset();
-			List<KeyedRecord> applied = this.newest.apply(rest.records());
-			this.notifications.run(() -> {
-				List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
-				this.listener.onChanges(applied);
-				this.peers.sendUpdate(StreamUpdates.create(this.stream, restOffset, rest, relevant));
-			});
+		long nextOffset = this.progress.nextOffset();
+		if (page.nextOffset() >= nextOffset) {
+			KeyedPage rest = StreamUpdates.skip(page, fromOffset, nextOffset);
+			long restOffset = StreamUpdates.isComplete(page, fromOffset) ? nextOffset : fromOffset;
+			this.progress.advance(page.nextOffset());
+			this.records.applyRead(restOffset, rest);
 		}
 		this.schedule.readCompleted(nowNanos);
 		scheduleRead(nowNanos);
@@ -251,23 +221,20 @@
 
 	private boolean onUpdate(UpdateReceived event, long nowNanos) {
 		StreamUpdate update = event.update();
-		if (onPeerContacted(event.host())) {
-			return false;
-		}
-		if (update.nextOffset() < this.nextOffset) {
+		long nextOffset = this.progress.nextOffset();
+		if (onPeerContacted(event.host()) || update.nextOffset() < nextOffset) {
 			return false;
 		}
 		this.schedule.updateReceived(event.senderHasPriority(), nowNanos);
-		if (update.nextOffset() > this.nextOffset && update.fromOffset() > this.nextOffset) {
+		if (update.nextOffset() > nextOffset && update.fromOffset() > nextOffset) {
 			if (this.failing) {
-				this.peers.requestSnapshot(this.stream, event.host());
+				this.snapshots.request(event.host());
 			}
 			this.schedule.makeDue(nowNanos);
 			return readIfDue(nowNanos);
 		}
-		List<KeyedRecord> records = this.newest.apply(StreamUpdates.selectNew(update, this.nextOffset));
-		this.nextOffset = update.nextOffset();
-		this.notifications.run(() -> this.listener.onChanges(records));
+		this.progress.advance(update.nextOffset());
+		this.records.applyReceived(StreamUpdates.selectNew(update, nextOffset));
 		return true;
 	}
 
@@ -278,7 +245,7 @@
 			LOGGER.warn("platform: reading stream {} failed; continuing with the last state read: {}", this.stream,
 					failure.getMessage());
 		}
-		this.notifications.run(this.listener::onReadFailed);
+		this.records.readFailed();
 		this.schedule.readFailed(nowNanos, !(failure instanceof StoreUnavailableException));
 		scheduleRead(nowNanos);
 		return false;
--- /dev/null
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -0,0 +1,72 @@
+package org.rattanhead.platform.keyed;
+
+import java.util.List;
+
+import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
+
+/**
+ * The newest record of each key of a stream. Reports what changes to the listener and, if
+ * this daemon read it, to the other daemons.
+ */
+final class StreamRecords {
+
+	private final KeyedStream stream;
+
+	private final KeyedListener listener;
+
+	private final StreamPeers peers;
+
+	private final ListenerNotifications notifications;
+
+	private final NewestRecords newest;
+
+	StreamRecords(KeyedStream stream, KeyedListener listener, StreamPeers peers) {
+		this.stream = stream;
+		this.listener = listener;
+		this.peers = peers;
+		this.notifications = new ListenerNotifications(stream);
+		this.newest = new NewestRecords(stream, RecordBudget.ofHeap());
+	}
+
+	List<KeyedRecord> all() {
+		return this.newest.all();
+	}
+
+	/**
+	 * Replaces all records.
+	 * @param records the newest record of each key
+	 */
+	void replace(List<KeyedRecord> records) {
+		List<KeyedRecord> kept = this.newest.replace(records);
+		this.notifications.run(() -> this.listener.onNewest(kept));
+	}
+
+	/**
+	 * Applies changes that this daemon read, and sends them to the other daemons.
+	 * @param fromOffset the offset at which the page starts
+	 * @param page the page
+	 */
+	void applyRead(long fromOffset, KeyedPage page) {
+		List<KeyedRecord> applied = this.newest.apply(page.records());
+		this.notifications.run(() -> {
+			List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
+			this.listener.onChanges(applied);
+			this.peers.sendUpdate(StreamUpdates.create(this.stream, fromOffset, page, relevant));
+		});
+	}
+
+	/**
+	 * Applies changes that another daemon sent.
+	 * @param changes the changes
+	 */
+	void applyReceived(List<KeyedRecord> changes) {
+		List<KeyedRecord> applied = this.newest.apply(changes);
+		this.notifications.run(() -> this.listener.onChanges(applied));
+	}
+
+	void readFailed() {
+		this.notifications.run(this.listener::onReadFailed);
+	}
+
+}
