Log and measure up to which position a stream is known

The era of the store was read nowhere.

Each change of a position is a log line and a metric. Decisions still compare offsets only. The simulated store can be restored from a copy.

--- a/rattanhead-core/src/main/java/org/rattanhead/core/keyed/StreamUpdate.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/keyed/StreamUpdate.java
@@ -6,10 +6,10 @@
  * The records that a daemon obtained when it read a stream to its end.
  *
  * @param stream the stream
- * @param fromOffset the offset of the first record; equal to the next offset if no
- * records are included, because there were none or they are too large to publish
- * @param nextOffset the offset after the last record of the stream
- * @param records the records from one offset to the other, in order
+ * @param from the position of the first record; equal to the next position if no records
+ * are included, because there were none or they are too large to publish
+ * @param next the position after the last record of the stream, of the same era
+ * @param records the records from one position to the other, in order
  */
-public record StreamUpdate(KeyedStream stream, long fromOffset, long nextOffset, List<KeyedRecord> records) {
+public record StreamUpdate(KeyedStream stream, StreamPosition from, StreamPosition next, List<KeyedRecord> records) {
 }
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/CountedStore.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/CountedStore.java
@@ -4,6 +4,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.platform.keyed.KeyedPage;
 import org.rattanhead.platform.keyed.KeyedStore;
 
@@ -27,12 +28,12 @@
 	}
 
 	@Override
-	public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
-		return count(stream, "changes", this.store.changes(stream, fromOffset, waitMillis));
+	public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
+		return count(stream, "changes", this.store.changes(stream, from, waitMillis));
 	}
 
 	@Override
-	public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+	public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
 		return count(stream, "put", this.store.put(stream, key, value));
 	}
 
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -145,8 +145,8 @@
 		this.ticker.every(IDLE_TICK_MILLIS, this.ticks::offerTick);
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
 		MeshStreams peers = new MeshStreams(mesh);
-		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream,
-				new KeyedFollower(store, () -> plans.plan(stream), this.ticker, listener, peers));
+		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream, new KeyedFollower(
+				store, () -> plans.plan(stream), this.ticker, listener, peers, this.metrics::position));
 		follow.accept(KeyedStream.OPERATORS, new OperatorRecordListener(this.decisions, this.status));
 		follow.accept(KeyedStream.INSTANCES, new InstanceRecordListener(this.decisions, this.status, System::nanoTime));
 		Announcement announcement = new Announcement(this.self,
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayMetrics.java
@@ -13,8 +13,10 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.decision.forward.LogDecision;
 import org.rattanhead.decision.forward.ReportBalance;
+import org.rattanhead.platform.keyed.PositionSource;
 
 /**
  * The metrics of a gateway.
@@ -54,6 +56,26 @@
 		.labelNames("service")
 		.register(this.registry);
 
+	private final Gauge streamOffsets = streamGauge("rattanhead_stream_offset",
+			"Offset of the next record of a stream, by stream and who told it");
+
+	private final Gauge streamEras = streamGauge("rattanhead_stream_era",
+			"Era of the store in which the offset counts");
+
+	private final Gauge streamConfirmed = streamGauge("rattanhead_stream_confirmed_timestamp_seconds",
+			"When the offset was last confirmed, in seconds since 1970");
+
+	private Gauge streamGauge(String name, String help) {
+		return Gauge.builder().name(name).help(help).labelNames("stream", "source").register(this.registry);
+	}
+
+	void position(KeyedStream stream, StreamPosition position, PositionSource source) {
+		String[] labels = { stream.name().toLowerCase(Locale.ROOT), source.name().toLowerCase(Locale.ROOT) };
+		this.streamOffsets.labelValues(labels).set(position.offset());
+		this.streamEras.labelValues(labels).set(position.era());
+		this.streamConfirmed.labelValues(labels).set(System.currentTimeMillis() / MILLIS_PER_SECOND);
+	}
+
 	void countStoreCall(KeyedStream stream, String kind, boolean succeeded) {
 		this.storeCalls.labelValues(stream.name().toLowerCase(Locale.ROOT), kind, succeeded ? "ok" : "failed").inc();
 	}
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/CountedStoreTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/CountedStoreTests.java
@@ -9,6 +9,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.platform.keyed.KeyedPage;
 import org.rattanhead.platform.keyed.KeyedStore;
 
@@ -30,14 +31,13 @@
 		}
 
 		@Override
-		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 			return CountedStoreTests.this.page;
 		}
 
 		@Override
-		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
-			return CountedStoreTests.this.page.thenAccept((read) -> {
-			});
+		public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
+			return CountedStoreTests.this.page.thenApply((read) -> StreamPosition.NO_ERA);
 		}
 	}, this.metrics);
 
@@ -48,14 +48,14 @@
 	void countsByStreamKindAndOutcome(String kind, KeyedStream stream, boolean refused) {
 		switch (kind) {
 			case "newest" -> this.store.newest(stream, "");
-			case "changes" -> this.store.changes(stream, 0, 0);
+			case "changes" -> this.store.changes(stream, StreamPosition.of(0), 0);
 			default -> this.store.put(stream, "k", Payload.of("v"));
 		}
 		if (refused) {
 			this.page.completeExceptionally(new IllegalStateException("refused"));
 		}
 		else {
-			this.page.complete(new KeyedPage(List.of(), 0, false, false));
+			this.page.complete(new KeyedPage(List.of(), StreamPosition.of(0), false, false));
 		}
 		assertThat(this.metrics.page().text()).contains("rattanhead_store_calls_total{kind=\"" + kind + "\",outcome=\""
 				+ (refused ? "failed" : "ok") + "\",stream=\"" + stream.name().toLowerCase(Locale.ROOT) + "\"} 1.0");
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
@@ -9,6 +9,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.problem.RemedyException;
 import org.rattanhead.platform.keyed.KeyedPage;
 import org.rattanhead.platform.keyed.KeyedStore;
@@ -35,12 +36,12 @@
 		}
 
 		@Override
-		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 			return CompletableFuture.failedFuture(new UnsupportedOperationException());
 		}
 
 		@Override
-		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+		public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
 			if (!RecordWriterTests.this.available) {
 				return CompletableFuture.failedFuture(new RemedyException("The store is down", "wait"));
 			}
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/StreamMessageCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/StreamMessageCodec.java
@@ -11,6 +11,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshRecord;
@@ -59,7 +60,8 @@
 	 * @return the datagram
 	 */
 	public static MeshDatagram encodeRequest(String host, KeyedStream stream) {
-		return encode(host, REQUEST_PREFIX, new StreamUpdate(stream, 0, 0, List.of()));
+		return encode(host, REQUEST_PREFIX,
+				new StreamUpdate(stream, StreamPosition.of(0), StreamPosition.of(0), List.of()));
 	}
 
 	private static MeshDatagram encode(String host, String prefix, StreamUpdate update) {
@@ -71,8 +73,9 @@
 		}
 		MeshStreamNews encoded = MeshStreamNews.newBuilder()
 			.setStream(prefix + update.stream().name())
-			.setFromOffset(update.fromOffset())
-			.setNextOffset(update.nextOffset())
+			.setEra(update.next().era())
+			.setFromOffset(update.from().offset())
+			.setNextOffset(update.next().offset())
 			.setPackedRecords(ByteString.copyFrom(RecordCompression.compress(records.build().toByteArray())))
 			.build();
 		return MeshDatagram.newBuilder().setHost(host).setStreamNews(encoded).build();
@@ -111,7 +114,8 @@
 	}
 
 	private static StreamUpdate decode(KeyedStream stream, MeshStreamNews message, List<KeyedRecord> records) {
-		return new StreamUpdate(stream, message.getFromOffset(), message.getNextOffset(), records);
+		StreamPosition from = new StreamPosition(message.getEra(), message.getFromOffset());
+		return new StreamUpdate(stream, from, from.withOffset(message.getNextOffset()), records);
 	}
 
 	private static KeyedRecord decode(MeshRecord record) {
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -29,6 +29,7 @@
 import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshStreamNews;
@@ -157,7 +158,7 @@
 			.mapToObj((index) -> new KeyedRecord("k" + index,
 					(index % 2 == 0) ? Optional.of(new Payload(value)) : Optional.empty()))
 			.toList();
-		StreamUpdate update = new StreamUpdate(stream, 3, 3 + count, records);
+		StreamUpdate update = new StreamUpdate(stream, StreamPosition.of(3), StreamPosition.of(3 + count), records);
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendStreamUpdate(List.of(member), update);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(update);
@@ -173,7 +174,7 @@
 		List<KeyedRecord> records = IntStream.range(0, count)
 			.mapToObj((index) -> new KeyedRecord("k" + index, Optional.of(Payload.of("v" + index))))
 			.toList();
-		StreamUpdate snapshot = new StreamUpdate(stream, 9, 9, records);
+		StreamUpdate snapshot = new StreamUpdate(stream, StreamPosition.of(9), StreamPosition.of(9), records);
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendSnapshotRequest(List.of(member), stream);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("peer", stream));
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/GuardedStore.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/GuardedStore.java
@@ -8,6 +8,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 
 /**
  * Limits the calls to a store that refuses them. After a failed read, one call at a time
@@ -59,13 +60,13 @@
 	}
 
 	@Override
-	public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+	public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 		// A test that waits would keep all other calls from being made.
-		return guard(true, (test) -> this.store.changes(stream, fromOffset, test ? 0 : waitMillis));
+		return guard(true, (test) -> this.store.changes(stream, from, test ? 0 : waitMillis));
 	}
 
 	@Override
-	public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+	public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
 		return guard(false, (test) -> this.store.put(stream, key, value));
 	}
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -25,12 +25,13 @@
 	 * @param ticker schedules reads
 	 * @param listener receives the records
 	 * @param peers sends messages to the other daemons
+	 * @param observer observes the position
 	 */
 	public KeyedFollower(KeyedStore store, Supplier<FollowPlan> plan, Ticker ticker, KeyedListener listener,
-			StreamPeers peers) {
+			StreamPeers peers, PositionObserver observer) {
 		KeyedStream stream = plan.get().stream();
 		StreamReader reader = new StreamReader(store, plan, new ReadSchedule(plan, new Random(), System.nanoTime()),
-				listener, peers, ticker::after, this::offer);
+				listener, peers, observer, ticker::after, this::offer);
 		this.duty = new Duty<>("follow-" + stream, RING_SLOTS, System::nanoTime, reader::handle);
 		offer(new ReadDue(0));
 	}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
@@ -3,17 +3,18 @@
 import java.util.List;
 
 import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.StreamPosition;
 
 /**
  * A page of records of a stream.
  *
  * @param records the records, in order
- * @param nextOffset the offset at which the next read of changes starts
+ * @param next the position at which the next read of changes starts
  * @param more whether another page of newest records follows
  * @param trimmed whether the store has deleted earlier records that were not read, so
  * that the newest records have to be read again
  */
-public record KeyedPage(List<KeyedRecord> records, long nextOffset, boolean more, boolean trimmed) {
+public record KeyedPage(List<KeyedRecord> records, StreamPosition next, boolean more, boolean trimmed) {
 
 	/**
 	 * Returns the key after which the next page starts.
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedStore.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedStore.java
@@ -4,6 +4,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 
 /**
  * Reads and writes keyed records. Failures complete the futures with a
@@ -20,21 +21,22 @@
 	CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey);
 
 	/**
-	 * Reads the records starting at an offset.
+	 * Reads the records starting at a position.
 	 * @param stream the stream
-	 * @param fromOffset the offset of the first record
+	 * @param from the position of the first record; a store of a later era has other
+	 * records there
 	 * @param waitMillis how long the store may wait for a new record, in milliseconds
 	 * @return a page
 	 */
-	CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis);
+	CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis);
 
 	/**
 	 * Writes a record.
 	 * @param stream the stream
 	 * @param key the key
 	 * @param value the value
-	 * @return completes when the record is stored
+	 * @return the era of the store when the record is stored
 	 */
-	CompletableFuture<Void> put(KeyedStream stream, String key, Payload value);
+	CompletableFuture<Long> put(KeyedStream stream, String key, Payload value);
 
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PageArrived.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PageArrived.java
@@ -1,10 +1,12 @@
 package org.rattanhead.platform.keyed;
 
+import org.rattanhead.core.keyed.StreamPosition;
+
 /**
  * A read succeeded.
  *
- * @param fromOffset the offset at which the read started
+ * @param from the position at which the read started
  * @param page the page read
  */
-record PageArrived(long fromOffset, KeyedPage page) implements FollowEvent {
+record PageArrived(StreamPosition from, KeyedPage page) implements FollowEvent {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
@@ -3,23 +3,42 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.rattanhead.core.keyed.KeyedRecord;
+import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.problem.RemedyException;
 
 /**
  * How far a stream was read: the pages of newest records until all were read, then the
- * offset of the next change.
+ * position of the next change.
  */
 final class StreamProgress {
 
-	private static final long NO_OFFSET = -1;
+	private static final Logger LOGGER = LogManager.getLogger(StreamProgress.class);
+
+	private static final StreamPosition NO_POSITION = StreamPosition.of(-1);
 
 	private final CollectedPages collected = new CollectedPages(RecordBudget.ofHeap());
 
-	private long nextOffset = NO_OFFSET;
+	private final KeyedStream stream;
+
+	private final PositionObserver observer;
+
+	private StreamPosition position = NO_POSITION;
+
+	private PositionSource source = PositionSource.STORE;
 
 	private boolean readingNewest = true;
 
+	StreamProgress(KeyedStream stream, PositionObserver observer) {
+		this.stream = stream;
+		this.observer = observer;
+	}
+
 	/**
 	 * Returns whether the newest records have to be read before changes.
 	 * @return true until all of them were read or received
@@ -28,8 +47,8 @@
 		return this.readingNewest;
 	}
 
-	long nextOffset() {
-		return this.nextOffset;
+	StreamPosition position() {
+		return this.position;
 	}
 
 	/**
@@ -51,35 +70,50 @@
 			this.collected.add(page);
 		}
 		catch (RemedyException ex) {
-			this.nextOffset = NO_OFFSET;
+			this.position = NO_POSITION;
 			throw ex;
 		}
-		this.nextOffset = (this.nextOffset == NO_OFFSET) ? page.nextOffset() : this.nextOffset;
+		this.position = this.position.equals(NO_POSITION) ? page.next() : this.position;
 		if (page.more()) {
 			return Optional.empty();
 		}
 		this.readingNewest = false;
+		advance(this.position, PositionSource.STORE);
 		return Optional.of(this.collected.take());
 	}
 
 	/** Starts again with the newest records. */
 	void restart() {
 		this.readingNewest = true;
-		this.nextOffset = NO_OFFSET;
+		this.position = NO_POSITION;
 	}
 
 	/**
 	 * Continues with the changes after a snapshot.
-	 * @param snapshotOffset the offset of the first change that the snapshot lacks
+	 * @param next the position of the first change that the snapshot lacks
 	 */
-	void continueAfter(long snapshotOffset) {
+	void continueAfter(StreamPosition next) {
 		this.readingNewest = false;
 		this.collected.clear();
-		this.nextOffset = snapshotOffset;
+		advance(next, PositionSource.SNAPSHOT);
 	}
 
-	void advance(long offset) {
-		this.nextOffset = offset;
+	/**
+	 * Moves to a position, or confirms the current one.
+	 * @param next the position
+	 * @param newSource where it came from
+	 */
+	void advance(StreamPosition next, PositionSource newSource) {
+		// The offset alone changes with each heartbeat of an instance.
+		boolean notable = this.stream != KeyedStream.INSTANCES || !next.isSameEra(this.position)
+				|| newSource != this.source;
+		if (!next.equals(this.position) || newSource == PositionSource.SNAPSHOT) {
+			LOGGER.log(notable ? Level.INFO : Level.DEBUG, "platform: stream {} is known up to {}, from {}",
+					this.stream, next, newSource);
+		}
+		this.position = next;
+		this.source = newSource;
+		this.observer.onPosition(this.stream, next, newSource);
 	}
 
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -12,6 +12,7 @@
 import org.rattanhead.core.HandlerTable;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.core.problem.RemedyException;
 
@@ -42,7 +43,7 @@
 
 	private final HandlerTable<FollowEvent, Boolean> handlers;
 
-	private final StreamProgress progress = new StreamProgress();
+	private final StreamProgress progress;
 
 	private final StreamRecords records;
 
@@ -62,13 +63,15 @@
 	 * @param listener receives the records
 	 * @param peers sends messages to the other daemons
 	 * @param timer delivers timer events
+	 * @param observer observes the position
 	 * @param events receives the events that {@link #handle} has to be called with
 	 */
 	StreamReader(KeyedStore store, Supplier<FollowPlan> plan, ReadSchedule schedule, KeyedListener listener,
-			StreamPeers peers, FollowTimer timer, Consumer<FollowEvent> events) {
+			StreamPeers peers, PositionObserver observer, FollowTimer timer, Consumer<FollowEvent> events) {
 		this.store = store;
 		this.plan = plan;
 		this.stream = plan.get().stream();
+		this.progress = new StreamProgress(this.stream, observer);
 		this.records = new StreamRecords(this.stream, listener, peers);
 		this.snapshots = new SnapshotExchange(this.stream, peers);
 		this.schedule = schedule;
@@ -105,15 +108,15 @@
 
 	private void read(long nowNanos) {
 		this.readPending = true;
-		long fromOffset = this.progress.nextOffset();
+		StreamPosition from = this.progress.position();
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
 		long waitMillis = (this.schedule.isReader(nowNanos) && !this.failing) ? this.plan.get().waitMillis() : 0;
 		CompletableFuture<KeyedPage> page = this.progress.readingNewest()
 				? this.store.newest(this.stream, this.progress.lastKey())
-				: this.store.changes(this.stream, fromOffset, waitMillis);
+				: this.store.changes(this.stream, from, waitMillis);
 		page.whenComplete((read, failure) -> this.events
-			.accept((failure != null) ? new ReadFailed(failure) : new PageArrived(fromOffset, read)));
+			.accept((failure != null) ? new ReadFailed(failure) : new PageArrived(from, read)));
 	}
 
 	private boolean onPage(PageArrived event, long nowNanos) {
@@ -129,7 +132,7 @@
 			collectNewest(page, nowNanos);
 		}
 		else {
-			applyChanges(event.fromOffset(), page, nowNanos);
+			applyChanges(event.from(), page, nowNanos);
 		}
 		return true;
 	}
@@ -189,31 +192,31 @@
 			this.snapshots.postpone(host);
 			return false;
 		}
-		long nextOffset = this.progress.nextOffset();
-		return this.schedule.isCurrent(nowNanos) && this.snapshots.supply(host,
-				new StreamUpdate(this.stream, nextOffset, nextOffset, this.records.all()));
+		StreamPosition next = this.progress.position();
+		return this.schedule.isCurrent(nowNanos)
+				&& this.snapshots.supply(host, new StreamUpdate(this.stream, next, next, this.records.all()));
 	}
 
 	private boolean onSnapshot(StreamUpdate snapshot, long nowNanos) {
 		boolean readingNewest = this.progress.readingNewest();
-		boolean older = !readingNewest && snapshot.nextOffset() <= this.progress.nextOffset();
+		boolean older = !readingNewest && snapshot.next().offset() <= this.progress.position().offset();
 		if (older || (readingNewest && this.readPending)) {
 			return false;
 		}
-		this.progress.continueAfter(snapshot.nextOffset());
+		this.progress.continueAfter(snapshot.next());
 		this.schedule.updateReceived(true, nowNanos);
 		replaceAll(snapshot.records(), nowNanos);
 		scheduleRead(nowNanos);
 		return true;
 	}
 
-	private void applyChanges(long fromOffset, KeyedPage page, long nowNanos) {
-		long nextOffset = this.progress.nextOffset();
-		if (page.nextOffset() >= nextOffset) {
-			KeyedPage rest = StreamUpdates.skip(page, fromOffset, nextOffset);
-			long restOffset = StreamUpdates.isComplete(page, fromOffset) ? nextOffset : fromOffset;
-			this.progress.advance(page.nextOffset());
-			this.records.applyRead(restOffset, rest);
+	private void applyChanges(StreamPosition from, KeyedPage page, long nowNanos) {
+		StreamPosition needed = this.progress.position();
+		if (page.next().offset() >= needed.offset()) {
+			KeyedPage rest = StreamUpdates.skip(page, from, needed);
+			StreamPosition restFrom = StreamUpdates.isComplete(page, from) ? needed : from;
+			this.progress.advance(page.next(), PositionSource.STORE);
+			this.records.applyRead(restFrom, rest);
 		}
 		this.schedule.readCompleted(nowNanos);
 		scheduleRead(nowNanos);
@@ -221,20 +224,20 @@
 
 	private boolean onUpdate(UpdateReceived event, long nowNanos) {
 		StreamUpdate update = event.update();
-		long nextOffset = this.progress.nextOffset();
-		if (onPeerContacted(event.host()) || update.nextOffset() < nextOffset) {
+		StreamPosition needed = this.progress.position();
+		if (onPeerContacted(event.host()) || update.next().offset() < needed.offset()) {
 			return false;
 		}
 		this.schedule.updateReceived(event.senderHasPriority(), nowNanos);
-		if (update.nextOffset() > nextOffset && update.fromOffset() > nextOffset) {
+		if (update.next().offset() > needed.offset() && update.from().offset() > needed.offset()) {
 			if (this.failing) {
 				this.snapshots.request(event.host());
 			}
 			this.schedule.makeDue(nowNanos);
 			return readIfDue(nowNanos);
 		}
-		this.progress.advance(update.nextOffset());
-		this.records.applyReceived(StreamUpdates.selectNew(update, nextOffset));
+		this.progress.advance(update.next(), PositionSource.PEER);
+		this.records.applyReceived(StreamUpdates.selectNew(update, needed));
 		return true;
 	}
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -4,6 +4,7 @@
 
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 
 /**
  * The newest record of each key of a stream. Reports what changes to the listener and, if
@@ -44,15 +45,15 @@
 
 	/**
 	 * Applies changes that this daemon read, and sends them to the other daemons.
-	 * @param fromOffset the offset at which the page starts
+	 * @param from the position at which the page starts
 	 * @param page the page
 	 */
-	void applyRead(long fromOffset, KeyedPage page) {
+	void applyRead(StreamPosition from, KeyedPage page) {
 		List<KeyedRecord> applied = this.newest.apply(page.records());
 		this.notifications.run(() -> {
 			List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
 			this.listener.onChanges(applied);
-			this.peers.sendUpdate(StreamUpdates.create(this.stream, fromOffset, page, relevant));
+			this.peers.sendUpdate(StreamUpdates.create(this.stream, from, page, relevant));
 		});
 	}
 
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/EndlessStreamTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/EndlessStreamTests.java
@@ -15,6 +15,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.ring.Ticker;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -61,11 +62,13 @@
 			public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
 				this.sound |= afterKey.isEmpty() && this.pages > 0;
 				if (this.sound) {
-					return CompletableFuture.completedFuture(new KeyedPage(records(0, 2), 5, false, false));
+					return CompletableFuture
+						.completedFuture(new KeyedPage(records(0, 2), StreamPosition.of(5), false, false));
 				}
 				long first = newKeys ? this.pages * records : 0;
 				this.pages++;
-				return CompletableFuture.completedFuture(new KeyedPage(records(first, records), 5, true, false));
+				return CompletableFuture
+					.completedFuture(new KeyedPage(records(first, records), StreamPosition.of(5), true, false));
 			}
 		};
 		follow(store, () -> {
@@ -83,15 +86,16 @@
 		KeyedStore store = new EndlessStore() {
 			@Override
 			public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
-				return CompletableFuture.completedFuture(new KeyedPage(records(0, 1), 0, false, false));
+				return CompletableFuture
+					.completedFuture(new KeyedPage(records(0, 1), StreamPosition.of(0), false, false));
 			}
 
 			@Override
-			public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
-				List<KeyedRecord> records = new ArrayList<>(records(1 + fromOffset, RECORDS_PER_PAGE));
+			public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
+				List<KeyedRecord> records = new ArrayList<>(records(1 + from.offset(), RECORDS_PER_PAGE));
 				records.set(0, records(0, 1).get(0));
-				return CompletableFuture
-					.completedFuture(new KeyedPage(records, fromOffset + RECORDS_PER_PAGE, false, false));
+				return CompletableFuture.completedFuture(
+						new KeyedPage(records, from.withOffset(from.offset() + RECORDS_PER_PAGE), false, false));
 			}
 		};
 		follow(store, () -> {
@@ -118,6 +122,7 @@
 		FollowPlan plan = new FollowPlan(KeyedStream.INSTANCES, 1, 0, 0, false);
 		try (Ticker ticker = new Ticker("test");
 				KeyedFollower follower = new KeyedFollower(store, () -> plan, ticker, this.listener, (update) -> {
+				}, (stream, position, source) -> {
 				})) {
 			check.run();
 		}
@@ -129,13 +134,13 @@
 	private abstract static class EndlessStore implements KeyedStore {
 
 		@Override
-		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 			return new CompletableFuture<>();
 		}
 
 		@Override
-		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
-			return CompletableFuture.completedFuture(null);
+		public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
+			return CompletableFuture.completedFuture(StreamPosition.NO_ERA);
 		}
 
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/GuardedStoreTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/GuardedStoreTests.java
@@ -11,6 +11,7 @@
 
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,25 +24,25 @@
 
 	private final Deque<CompletableFuture<KeyedPage>> calls = new ArrayDeque<>();
 
-	private final Deque<CompletableFuture<Void>> writes = new ArrayDeque<>();
+	private final Deque<CompletableFuture<Long>> writes = new ArrayDeque<>();
 
 	private long lastWaitMillis;
 
 	private final GuardedStore guard = new GuardedStore(new KeyedStore() {
 		@Override
 		public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
-			return changes(stream, 0, 0);
+			return changes(stream, StreamPosition.of(0), 0);
 		}
 
 		@Override
-		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 			GuardedStoreTests.this.lastWaitMillis = waitMillis;
 			GuardedStoreTests.this.calls.add(new CompletableFuture<>());
 			return GuardedStoreTests.this.calls.getLast();
 		}
 
 		@Override
-		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+		public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
 			GuardedStoreTests.this.writes.add(new CompletableFuture<>());
 			return GuardedStoreTests.this.writes.getLast();
 		}
@@ -74,11 +75,11 @@
 	@ParameterizedTest(name = "wait of {0} ms")
 	@ValueSource(longs = { 0, 7_000 })
 	void testsWithoutWaiting(long waitMillis) {
-		this.guard.changes(KeyedStream.MEMBERS, 0, waitMillis);
+		this.guard.changes(KeyedStream.MEMBERS, StreamPosition.of(0), waitMillis);
 		assertThat(this.lastWaitMillis).isEqualTo(waitMillis);
 		this.calls.remove().completeExceptionally(new IllegalStateException("refused"));
 		this.time.runUntil(1_000);
-		this.guard.changes(KeyedStream.MEMBERS, 0, waitMillis);
+		this.guard.changes(KeyedStream.MEMBERS, StreamPosition.of(0), waitMillis);
 		assertThat(this.lastWaitMillis).isZero();
 	}
 
@@ -96,7 +97,7 @@
 	}
 
 	private CompletableFuture<KeyedPage> read() {
-		return this.guard.changes(KeyedStream.INSTANCES, 0, 0);
+		return this.guard.changes(KeyedStream.INSTANCES, StreamPosition.of(0), 0);
 	}
 
 }
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/KeyedFollowerTests.java
@@ -15,6 +15,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.ring.Ticker;
 
@@ -47,14 +48,14 @@
 		}
 
 		@Override
-		public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
-			KeyedFollowerTests.this.reads.add("from " + fromOffset + " wait " + waitMillis);
+		public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
+			KeyedFollowerTests.this.reads.add("from " + from.offset() + " wait " + waitMillis);
 			return next();
 		}
 
 		@Override
-		public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
-			return CompletableFuture.completedFuture(null);
+		public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
+			return CompletableFuture.completedFuture(StreamPosition.NO_ERA);
 		}
 
 		private CompletableFuture<KeyedPage> next() {
@@ -137,7 +138,8 @@
 		for (int change = 0; change < changes; change++) {
 			page(6 + change, 1, false);
 		}
-		this.responses.add(CompletableFuture.completedFuture(new KeyedPage(List.of(), 0, false, true)));
+		this.responses
+			.add(CompletableFuture.completedFuture(new KeyedPage(List.of(), StreamPosition.of(0), false, true)));
 		page(9, 3, false);
 		follow(() -> {
 			assertThat(this.notifications.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 2");
@@ -175,11 +177,13 @@
 		for (long offset = from; offset < next; offset++) {
 			records.add(new KeyedRecord("n" + offset, Optional.of(Payload.of("v"))));
 		}
-		answer.complete(new KeyedPage(List.of(record("a"), record("b"), record("c")), 8, false, false));
+		answer.complete(
+				new KeyedPage(List.of(record("a"), record("b"), record("c")), StreamPosition.of(8), false, false));
 		follow(new FollowPlan(KeyedStream.OPERATORS, 60_000, WAIT_MILLIS, 60_000, false), (follower) -> {
 			expectReads("newest ");
 			assertThat(this.notifications.poll(5, TimeUnit.SECONDS)).isEqualTo("newest 1");
-			follower.receive("other", true, new StreamUpdate(KeyedStream.OPERATORS, from, next, records));
+			follower.receive("other", true,
+					new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(from), StreamPosition.of(next), records));
 			if (!read.isEmpty()) {
 				expectReads(read);
 			}
@@ -196,12 +200,13 @@
 		for (int record = 0; record < records; record++) {
 			read.add(new KeyedRecord("k", Optional.of(Payload.of("v".repeat(bytes)))));
 		}
-		this.responses.add(CompletableFuture.completedFuture(new KeyedPage(read, 5 + records, false, false)));
+		this.responses
+			.add(CompletableFuture.completedFuture(new KeyedPage(read, StreamPosition.of(5 + records), false, false)));
 		follow(() -> {
 			StreamUpdate update = this.updates.poll(5, TimeUnit.SECONDS);
-			assertThat(update.fromOffset()).isEqualTo(from);
-			assertThat(update.nextOffset()).isEqualTo(5 + records);
-			assertThat(update.records()).hasSize((int) (update.nextOffset() - from));
+			assertThat(update.from().offset()).isEqualTo(from);
+			assertThat(update.next().offset()).isEqualTo(5 + records);
+			assertThat(update.records()).hasSize((int) (update.next().offset() - from));
 		});
 	}
 
@@ -223,7 +228,8 @@
 		for (int record = 0; record < records; record++) {
 			all.add(new KeyedRecord("k" + record, Optional.of(Payload.of("v"))));
 		}
-		this.responses.add(CompletableFuture.completedFuture(new KeyedPage(all, nextOffset, more, false)));
+		this.responses
+			.add(CompletableFuture.completedFuture(new KeyedPage(all, StreamPosition.of(nextOffset), more, false)));
 	}
 
 	private void expectReads(String... expected) throws InterruptedException {
@@ -242,7 +248,8 @@
 	private void follow(FollowPlan plan, FollowerCheck check) throws Exception {
 		try (Ticker ticker = new Ticker("test");
 				KeyedFollower follower = new KeyedFollower(this.store, () -> plan, ticker, this.listener,
-						this.updates::add)) {
+						this.updates::add, (stream, position, source) -> {
+						})) {
 			check.run(follower);
 		}
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
@@ -77,7 +77,8 @@
 			Supplier<FollowPlan> plan = () -> this.plans.plan(stream);
 			StreamReader[] reader = new StreamReader[1];
 			reader[0] = new StreamReader(connection, plan, new ReadSchedule(plan, random, time.nanos()),
-					new Listener(stream), this, time, (event) -> run(() -> reader[0].handle(event, time.nanos())));
+					new Listener(stream), this, (moved, position, source) -> {
+					}, time, (event) -> run(() -> reader[0].handle(event, time.nanos())));
 			this.readers.put(stream, reader[0]);
 			run(() -> reader[0].handle(new ReadDue(0), time.nanos()));
 		}
@@ -85,6 +86,14 @@
 		time.after(HEARTBEAT_MILLIS, this::heartbeatDue);
 	}
 
+	/**
+	 * Returns the newest value of each key that this gateway knows.
+	 * @return the values by key
+	 */
+	Map<String, String> values() {
+		return this.current;
+	}
+
 	boolean configured() {
 		return this.loaded.contains(KeyedStream.OPERATORS) && this.loaded.contains(KeyedStream.INSTANCES);
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
@@ -14,10 +14,11 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 
 /**
- * A store in virtual time that counts calls, holds reads that wait, and refuses or loses
- * the calls of some hosts.
+ * A store in virtual time that counts calls, holds reads that wait, refuses or loses the
+ * calls of some hosts, and can be restored from an older copy.
  */
 final class SimulatedStore {
 
@@ -34,14 +35,21 @@
 
 	private final VirtualTime time;
 
-	private final Map<KeyedStream, List<KeyedRecord>> records = new EnumMap<>(KeyedStream.class);
+	private final Map<KeyedStream, List<StoredRecord>> records = new EnumMap<>(KeyedStream.class);
 
 	private final Map<KeyedStream, List<Runnable>> waiting = new EnumMap<>(KeyedStream.class);
 
+	/** Calls that have arrived and are not answered. */
+	private final Set<CompletableFuture<?>> pending = new HashSet<>();
+
 	private final Map<String, Integer> calls = new TreeMap<>();
 
 	private final Map<KeyedStream, String> lastReaders = new EnumMap<>(KeyedStream.class);
 
+	private long era = 1;
+
+	private boolean away;
+
 	SimulatedStore(VirtualTime time) {
 		this.time = time;
 		for (KeyedStream stream : KeyedStream.values()) {
@@ -69,8 +77,48 @@
 		return this.lastReaders.get(stream);
 	}
 
+	/** Lets the store refuse all calls, those that have arrived included. */
+	void goAway() {
+		this.away = true;
+		List<CompletableFuture<?>> refused = List.copyOf(this.pending);
+		this.pending.clear();
+		refused.forEach((answer) -> answer.completeExceptionally(new IllegalStateException("reset")));
+	}
+
+	/**
+	 * Lets the store come back without what was written after a copy of it.
+	 * @param copyMillis when the copy was made, in milliseconds
+	 */
+	void restore(long copyMillis) {
+		this.away = false;
+		this.era++;
+		this.records.values().forEach((all) -> all.removeIf((record) -> record.millis() > copyMillis));
+	}
+
+	/**
+	 * Returns the newest value of each key.
+	 * @param stream the stream
+	 * @return the values by key
+	 */
+	Map<String, String> values(KeyedStream stream) {
+		Map<String, String> values = new LinkedHashMap<>();
+		this.records.get(stream)
+			.forEach((stored) -> values.put(stored.record().key(), stored.record().value().orElseThrow().text()));
+		return values;
+	}
+
+	/**
+	 * Writes a record, unless the store is away.
+	 * @param stream the stream
+	 * @param key the key
+	 * @param value the value
+	 */
 	void append(KeyedStream stream, String key, String value) {
-		this.records.get(stream).add(new KeyedRecord(key, Optional.of(Payload.of(value))));
+		if (this.away) {
+			return;
+		}
+		this.records.get(stream)
+			.add(new StoredRecord(this.time.millis(), new KeyedRecord(key, Optional.of(Payload.of(value)))));
 		List<Runnable> readers = new ArrayList<>(this.waiting.get(stream));
 		this.waiting.get(stream).clear();
 		readers.forEach(Runnable::run);
@@ -85,17 +133,17 @@
 			}
 
 			@Override
-			public CompletableFuture<KeyedPage> changes(KeyedStream stream, long fromOffset, long waitMillis) {
+			public CompletableFuture<KeyedPage> changes(KeyedStream stream, StreamPosition from, long waitMillis) {
 				SimulatedStore.this.lastReaders.put(stream, host);
 				return call(host, stream + " changes", waitMillis,
-						(answer) -> SimulatedStore.this.read(stream, fromOffset, waitMillis, answer));
+						(answer) -> SimulatedStore.this.read(stream, from.offset(), waitMillis, answer));
 			}
 
 			@Override
-			public CompletableFuture<Void> put(KeyedStream stream, String key, Payload value) {
+			public CompletableFuture<Long> put(KeyedStream stream, String key, Payload value) {
 				return call(host, stream + " put", 0, (answer) -> {
 					append(stream, key, value.text());
-					answer.complete(null);
+					answer.complete(SimulatedStore.this.era);
 				});
 			}
 		};
@@ -108,6 +156,7 @@
 		CompletableFuture<T> answer = new CompletableFuture<>();
 		this.time.after(waitMillis + TIMEOUT_MILLIS,
 				() -> result.completeExceptionally(new IllegalStateException("no answer")));
+		answer.whenComplete((value, failure) -> this.pending.remove(answer));
 		answer.whenComplete((value, failure) -> this.time.after(LATENCY_MILLIS, () -> {
 			if (this.lostHosts.contains(host)) {
 				return;
@@ -120,10 +169,11 @@
 			}
 		}));
 		this.time.after(LATENCY_MILLIS, () -> {
-			if (refused) {
+			if (refused || this.away) {
 				answer.completeExceptionally(new IllegalStateException("refused"));
 			}
 			else if (!this.lostHosts.contains(host)) {
+				this.pending.add(answer);
 				serving.serve(answer);
 			}
 		});
@@ -132,14 +182,26 @@
 
 	private KeyedPage newest(KeyedStream stream) {
 		Map<String, KeyedRecord> newest = new LinkedHashMap<>();
-		this.records.get(stream).forEach((record) -> newest.put(record.key(), record));
-		return new KeyedPage(List.copyOf(newest.values()), this.records.get(stream).size(), false, false);
+		this.records.get(stream).forEach((stored) -> newest.put(stored.record().key(), stored.record()));
+		return new KeyedPage(List.copyOf(newest.values()), position(this.records.get(stream).size()), false, false);
+	}
+
+	private StreamPosition position(long offset) {
+		return new StreamPosition(this.era, offset);
 	}
 
 	private void read(KeyedStream stream, long fromOffset, long waitMillis, CompletableFuture<KeyedPage> answer) {
-		List<KeyedRecord> all = this.records.get(stream);
-		Runnable respond = () -> answer
-			.complete(new KeyedPage(List.copyOf(all.subList((int) fromOffset, all.size())), all.size(), false, false));
+		List<StoredRecord> all = this.records.get(stream);
+		if (fromOffset > all.size()) {
+			answer.complete(new KeyedPage(List.of(), position(fromOffset), false, true));
+			return;
+		}
+		Runnable respond = () -> {
+			if (!answer.isDone()) {
+				List<KeyedRecord> found = all.stream().skip(fromOffset).map(StoredRecord::record).toList();
+				answer.complete(new KeyedPage(found, position(all.size()), false, false));
+			}
+		};
 		if (all.size() > fromOffset || waitMillis == 0) {
 			respond.run();
 			return;
@@ -151,6 +213,15 @@
 		});
 	}
 
+	/**
+	 * A record and when it was written.
+	 *
+	 * @param millis when it was written, in milliseconds
+	 * @param record the record
+	 */
+	private record StoredRecord(long millis, KeyedRecord record) {
+	}
+
 	/**
 	 * Answers a call that has arrived.
 	 *
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
@@ -13,6 +13,7 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -67,6 +68,7 @@
 				public void sendSnapshot(String host, StreamUpdate snapshot) {
 					SnapshotTests.this.sent.add(snapshot);
 				}
+			}, (stream, position, source) -> {
 			}, this.time, this::handle);
 
 	/** Guards against a read of what another daemon supplies. */
@@ -111,7 +113,8 @@
 	void suppliesCurrentRecordsThatFit(long delayMillis, int bytes, int snapshots) {
 		this.store.lostHosts.add("self");
 		handle(new ReadDue(0));
-		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, 7, 7, List.of(record("k", bytes)))));
+		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(7), StreamPosition.of(7),
+				List.of(record("k", bytes)))));
 		this.time.runUntil(delayMillis);
 		handle(new SnapshotRequested("other"));
 		assertThat(this.sent).hasSize(snapshots);
@@ -137,7 +140,8 @@
 		List<KeyedRecord> records = IntStream.range(0, (int) (next - from))
 			.mapToObj((index) -> record("n" + index, 1))
 			.toList();
-		handle(new UpdateReceived("other", true, new StreamUpdate(KeyedStream.OPERATORS, from, next, records)));
+		handle(new UpdateReceived("other", true,
+				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(from), StreamPosition.of(next), records)));
 		assertThat(this.applied).containsExactly("newest 3", change);
 		assertThat(this.store.takeCalls()).isEmpty();
 	}
@@ -151,14 +155,17 @@
 	void sendsTheRestOfAPageAfterAnUpdateDuringTheRead(int received, long from, int records) {
 		IntStream.range(0, 3).forEach((index) -> this.store.append(KeyedStream.OPERATORS, "k" + index, "v"));
 		handle(new ReadDue(0));
-		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, 0, 0, List.of())));
+		handle(new SnapshotReceived(
+				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(0), StreamPosition.of(0), List.of())));
 		this.time.runUntil(1_000);
-		handle(new UpdateReceived("other", true, new StreamUpdate(KeyedStream.OPERATORS, 1_000, 1_001, List.of())));
+		handle(new UpdateReceived("other", true, new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(1_000),
+				StreamPosition.of(1_001), List.of())));
 		List<KeyedRecord> update = IntStream.range(0, received).mapToObj((index) -> record("k" + index, 1)).toList();
-		handle(new UpdateReceived("other", true, new StreamUpdate(KeyedStream.OPERATORS, 0, received, update)));
+		handle(new UpdateReceived("other", true,
+				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(0), StreamPosition.of(received), update)));
 		this.time.runUntil(1_100);
 		assertThat(this.updates).hasSize(1);
-		assertThat(this.updates.get(0).fromOffset()).isEqualTo(from);
+		assertThat(this.updates.get(0).from().offset()).isEqualTo(from);
 		assertThat(this.updates.get(0).records()).hasSize(records);
 	}
 
@@ -167,7 +174,7 @@
 	}
 
 	private static StreamUpdate snapshot(long nextOffset, int records) {
-		return new StreamUpdate(KeyedStream.OPERATORS, nextOffset, nextOffset,
+		return new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(nextOffset), StreamPosition.of(nextOffset),
 				IntStream.range(0, records).mapToObj((index) -> record("k" + index, 1)).toList());
 	}
 
