Order positions of a stream within one era of the store

Cause: after the store comes back from an older copy, offsets go back and are given out again. The header with the era of the store was read nowhere. Class of fault: a position that is compared without the incarnation that it counts in. A later era, named by any answer of the store or by another gateway, lets all streams be read anew: by who notices it at once, by the others from that gateway. Offsets of an earlier era are ignored, those of peers that name none too. Reads that were under way are abandoned. SnapshotTests and MeshNetworkTests name the era of their store; their checks are the same.

--- a/rattanhead-core/src/main/java/org/rattanhead/core/keyed/StreamPosition.java
+++ b/rattanhead-core/src/main/java/org/rattanhead/core/keyed/StreamPosition.java
@@ -30,6 +30,15 @@
 		return new StreamPosition(this.era, otherOffset);
 	}
 
+	/**
+	 * Returns a position of another era.
+	 * @param otherEra the era
+	 * @return the position
+	 */
+	public StreamPosition withEra(long otherEra) {
+		return new StreamPosition(otherEra, this.offset);
+	}
+
 	/**
 	 * Returns whether the offsets of both positions may be compared.
 	 * @param other the other position
@@ -66,6 +75,15 @@
 		return isSameEra(other) && this.offset > other.offset;
 	}
 
+	/**
+	 * Returns this position, in the era of another one if this one names none.
+	 * @param known the other position
+	 * @return a position with an era, if either names one
+	 */
+	public StreamPosition withDefaultEra(StreamPosition known) {
+		return (this.era == NO_ERA) ? withEra(known.era) : this;
+	}
+
 	@Override
 	public String toString() {
 		return "offset " + this.offset + " of era " + this.era;
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.rattanhead.http.forward.ForwardSettings;
 import org.rattanhead.http.forward.PageContent;
 import org.rattanhead.http.forward.ServedPage;
+import org.rattanhead.platform.keyed.EraWatch;
 import org.rattanhead.platform.keyed.FollowPlans;
 import org.rattanhead.platform.keyed.GuardedStore;
 import org.rattanhead.platform.keyed.KeyedFollower;
@@ -138,7 +139,7 @@
 		ForwardCallDuty calls = own(new ForwardCallDuty(this.caller, new InstanceCodec(), this.decisions));
 		this.frontEnd = own(
 				new ForwardFrontEnd(settings.host(), forwardSettings(), new CallerCodec(), this.decisions, pages()));
-		KeyedStore store = connectStore();
+		KeyedStore store = new EraWatch(connectStore(), (era) -> followers.eraNamed(era, ""));
 		RecordWriter records = new RecordWriter(store, this.ticker::after);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
 				this.drained::countDown));
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/StreamFollowers.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
@@ -16,6 +17,8 @@
 
 	private final Map<KeyedStream, KeyedFollower> followers = new ConcurrentHashMap<>();
 
+	private final AtomicLong latestEra = new AtomicLong();
+
 	private volatile boolean peersKnown;
 
 	void add(KeyedStream stream, KeyedFollower follower) {
@@ -23,6 +26,7 @@
 	}
 
 	void receiveUpdate(String host, boolean readsForSelf, StreamUpdate update) {
+		eraNamed(update.next().era(), host);
 		find(update.stream()).ifPresent((follower) -> follower.receive(host, readsForSelf, update));
 		if (!this.peersKnown) {
 			find(KeyedStream.MEMBERS).ifPresent((follower) -> follower.peerContacted(host));
@@ -46,6 +50,17 @@
 		this.followers.forEach((stream, follower) -> follower.peersKnown(others));
 	}
 
+	/**
+	 * Tells the followers of all streams the era of the store, if it is a later one.
+	 * @param era the era
+	 * @param host the host of the daemon that named it, empty text for the store
+	 */
+	void eraNamed(long era, String host) {
+		if (this.latestEra.getAndAccumulate(era, Math::max) < era) {
+			this.followers.forEach((stream, follower) -> follower.eraNamed(era, host));
+		}
+	}
+
 	private Optional<KeyedFollower> find(KeyedStream stream) {
 		return Optional.ofNullable(this.followers.get(stream));
 	}
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -158,7 +158,8 @@
 			.mapToObj((index) -> new KeyedRecord("k" + index,
 					(index % 2 == 0) ? Optional.of(new Payload(value)) : Optional.empty()))
 			.toList();
-		StreamUpdate update = new StreamUpdate(stream, StreamPosition.of(3), StreamPosition.of(3 + count), records);
+		StreamUpdate update = new StreamUpdate(stream, new StreamPosition(bytes, 3),
+				new StreamPosition(bytes, 3 + count), records);
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendStreamUpdate(List.of(member), update);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(update);
@@ -174,7 +175,8 @@
 		List<KeyedRecord> records = IntStream.range(0, count)
 			.mapToObj((index) -> new KeyedRecord("k" + index, Optional.of(Payload.of("v" + index))))
 			.toList();
-		StreamUpdate snapshot = new StreamUpdate(stream, StreamPosition.of(9), StreamPosition.of(9), records);
+		StreamPosition next = new StreamPosition(count, 9);
+		StreamUpdate snapshot = new StreamUpdate(stream, next, next, records);
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendSnapshotRequest(List.of(member), stream);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(List.of("peer", stream));
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedFollower.java
@@ -83,6 +83,15 @@
 		this.duty.offer(new PeerContacted(host), Urgency.STREAM);
 	}
 
+	/**
+	 * Tells the duty that the store or another daemon named a later era of the store.
+	 * @param era the era
+	 * @param host the host of that daemon, empty text for the store
+	 */
+	public void eraNamed(long era, String host) {
+		offer(new EraNamed(era, host));
+	}
+
 	@Override
 	public void close() {
 		this.duty.close();
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedListener.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedListener.java
@@ -9,6 +9,15 @@
  */
 public interface KeyedListener {
 
+	/**
+	 * Called when the store has come back from an older copy, before the newest records
+	 * of that copy are read. The writers of lost records write them again.
+	 * @param known the newest record of each key that was known before
+	 */
+	default void onRestored(List<KeyedRecord> known) {
+		// What the copy has replaces what was known.
+	}
+
 	/**
 	 * Called when the newest record of each key was read.
 	 * @param records the newest record of each key
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
@@ -16,6 +16,15 @@
  */
 public record KeyedPage(List<KeyedRecord> records, StreamPosition next, boolean more, boolean trimmed) {
 
+	/**
+	 * Returns this page, in a known era if the store named none.
+	 * @param known a position of the known era
+	 * @return the page
+	 */
+	KeyedPage withDefaultEra(StreamPosition known) {
+		return new KeyedPage(this.records, this.next.withDefaultEra(known), this.more, this.trimmed);
+	}
+
 	/**
 	 * Returns the key after which the next page starts.
 	 * @return the key, empty text if the page has no records
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PageArrived.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PageArrived.java
@@ -1,12 +1,10 @@
 package org.rattanhead.platform.keyed;
 
-import org.rattanhead.core.keyed.StreamPosition;
-
 /**
  * A read succeeded.
  *
- * @param from the position at which the read started
+ * @param read the read
  * @param page the page read
  */
-record PageArrived(StreamPosition from, KeyedPage page) implements FollowEvent {
+record PageArrived(StreamRead read, KeyedPage page) implements FollowEvent {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadFailed.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadFailed.java
@@ -3,7 +3,8 @@
 /**
  * A read failed.
  *
+ * @param read the read
  * @param failure the failure
  */
-record ReadFailed(Throwable failure) implements FollowEvent {
+record ReadFailed(StreamRead read, Throwable failure) implements FollowEvent {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
@@ -75,13 +75,28 @@
 	ReadSchedule(Supplier<FollowPlan> plan, RandomGenerator random, long nowNanos) {
 		this.plan = plan;
 		this.random = random;
-		this.dueNanos = nowNanos + (plan.get().asksPeers() ? TimeUnit.MILLISECONDS
-			.toNanos(PEER_WAIT_MILLIS + Math.round(PEER_WAIT_SPREAD_MILLIS * random.nextDouble())) : 0);
+		this.dueNanos = plan.get().asksPeers() ? peerWaitEnd(nowNanos) : nowNanos;
 		this.readerUntilNanos = nowNanos;
 		this.yieldUntilNanos = nowNanos;
 		this.currentUntilNanos = nowNanos;
 	}
 
+	/**
+	 * Schedules the next read after another daemon has read the newest records of a
+	 * restored store, which it sends on request.
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void awaitPeer(long nowNanos) {
+		this.dueNanos = peerWaitEnd(nowNanos);
+		this.yieldUntilNanos = nowNanos;
+		this.readerUntilNanos = nowNanos;
+	}
+
+	private long peerWaitEnd(long nowNanos) {
+		return nowNanos + TimeUnit.MILLISECONDS
+			.toNanos(PEER_WAIT_MILLIS + Math.round(PEER_WAIT_SPREAD_MILLIS * this.random.nextDouble()));
+	}
+
 	/**
 	 * Schedules the next read after this daemon has read the newest records. Of daemons
 	 * that start together, the first that is due reads for the others. Without a yield
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
@@ -20,7 +20,7 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(StreamProgress.class);
 
-	private static final StreamPosition NO_POSITION = StreamPosition.of(-1);
+	private static final long NO_OFFSET = -1;
 
 	private final CollectedPages collected = new CollectedPages(RecordBudget.ofHeap());
 
@@ -28,7 +28,7 @@
 
 	private final PositionObserver observer;
 
-	private StreamPosition position = NO_POSITION;
+	private StreamPosition position = StreamPosition.of(NO_OFFSET);
 
 	private PositionSource source = PositionSource.STORE;
 
@@ -70,10 +70,10 @@
 			this.collected.add(page);
 		}
 		catch (RemedyException ex) {
-			this.position = NO_POSITION;
+			restart();
 			throw ex;
 		}
-		this.position = this.position.equals(NO_POSITION) ? page.next() : this.position;
+		this.position = hasOffset() ? this.position : page.next();
 		if (page.more()) {
 			return Optional.empty();
 		}
@@ -82,10 +82,33 @@
 		return Optional.of(this.collected.take());
 	}
 
+	/**
+	 * Returns whether the next page is the first one of the newest records, which may be
+	 * of any later era.
+	 * @return true if no page was collected
+	 */
+	boolean atFirstPage() {
+		return this.readingNewest && !hasOffset();
+	}
+
 	/** Starts again with the newest records. */
 	void restart() {
 		this.readingNewest = true;
-		this.position = NO_POSITION;
+		this.collected.clear();
+		this.position = this.position.withOffset(NO_OFFSET);
+	}
+
+	/**
+	 * Starts again with the newest records of a later era.
+	 * @param era the era
+	 */
+	void restartIn(long era) {
+		restart();
+		this.position = new StreamPosition(era, NO_OFFSET);
+	}
+
+	private boolean hasOffset() {
+		return this.position.offset() != NO_OFFSET;
 	}
 
 	/**
--- /dev/null
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRead.java
@@ -0,0 +1,12 @@
+package org.rattanhead.platform.keyed;
+
+import org.rattanhead.core.keyed.StreamPosition;
+
+/**
+ * A read of a stream. Only the outcome of the last one counts.
+ *
+ * @param number increases with each read
+ * @param from the position at which it started
+ */
+record StreamRead(long number, StreamPosition from) {
+}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -26,10 +25,7 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(StreamReader.class);
 
-	/** The pause between two requests for a snapshot. */
-	private static final long REQUEST_MILLIS = 200;
-
-	private final KeyedStore store;
+	private final StreamReads reads;
 
 	private final Supplier<FollowPlan> plan;
 
@@ -51,7 +47,8 @@
 
 	private boolean failing;
 
-	private boolean readPending;
+	/** Whether the newest records are read because the store was restored. */
+	private boolean restored;
 
 	private long timerNumber;
 
@@ -68,25 +65,27 @@
 	 */
 	StreamReader(KeyedStore store, Supplier<FollowPlan> plan, ReadSchedule schedule, KeyedListener listener,
 			StreamPeers peers, PositionObserver observer, FollowTimer timer, Consumer<FollowEvent> events) {
-		this.store = store;
 		this.plan = plan;
 		this.stream = plan.get().stream();
+		this.reads = new StreamReads(store, this.stream, events);
 		this.progress = new StreamProgress(this.stream, observer);
 		this.records = new StreamRecords(this.stream, listener, peers);
-		this.snapshots = new SnapshotExchange(this.stream, peers);
+		this.snapshots = new SnapshotExchange(this.stream, this.progress, this.records, schedule, peers, timer,
+				() -> events.accept(new RequestDue()));
 		this.schedule = schedule;
 		this.timer = timer;
 		this.events = events;
 		this.handlers = new HandlerTable<FollowEvent, Boolean>()
 			.on(ReadDue.class, (event, now) -> event.timer() == this.timerNumber && readIfDue(now))
-			.on(PageArrived.class, (event, now) -> onPage(event, now))
-			.on(ReadFailed.class, (event, now) -> onReadFailed(event.failure(), now))
+			.on(PageArrived.class, (event, now) -> this.reads.finish(event.read()) && onPage(event, now))
+			.on(ReadFailed.class, (event, now) -> this.reads.finish(event.read()) && onReadFailed(event.failure(), now))
 			.on(UpdateReceived.class, (event, now) -> onUpdate(event, now))
 			.on(PeersKnown.class, (event, now) -> onPeersKnown(event.others(), now))
-			.on(PeerContacted.class, (event, now) -> onPeerContacted(event.host()))
-			.on(RequestDue.class, (event, now) -> requestSnapshot())
-			.on(SnapshotRequested.class, (event, now) -> onSnapshotRequested(event.host(), now))
+			.on(PeerContacted.class, (event, now) -> this.snapshots.requestFrom(event.host()))
+			.on(RequestDue.class, (event, now) -> this.snapshots.requestUntilReceived(""))
+			.on(SnapshotRequested.class, (event, now) -> this.snapshots.supply(event.host(), now))
 			.on(SnapshotReceived.class, (event, now) -> onSnapshot(event.snapshot(), now))
+			.on(EraNamed.class, (event, now) -> onEra(event, now))
 			.covering(FollowEvent.class);
 	}
 
@@ -95,7 +94,7 @@
 	}
 
 	private boolean readIfDue(long nowNanos) {
-		if (this.readPending) {
+		if (this.reads.isPending()) {
 			return false;
 		}
 		if (this.schedule.delayMillis(nowNanos) > 0) {
@@ -107,23 +106,27 @@
 	}
 
 	private void read(long nowNanos) {
-		this.readPending = true;
-		StreamPosition from = this.progress.position();
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
-		long waitMillis = (this.schedule.isReader(nowNanos) && !this.failing) ? this.plan.get().waitMillis() : 0;
-		CompletableFuture<KeyedPage> page = this.progress.readingNewest()
-				? this.store.newest(this.stream, this.progress.lastKey())
-				: this.store.changes(this.stream, from, waitMillis);
-		page.whenComplete((read, failure) -> this.events
-			.accept((failure != null) ? new ReadFailed(failure) : new PageArrived(from, read)));
+		boolean waits = this.schedule.isReader(nowNanos) && !this.failing;
+		this.reads.start(this.progress, waits ? this.plan.get().waitMillis() : 0);
 	}
 
 	private boolean onPage(PageArrived event, long nowNanos) {
-		this.readPending = false;
+		StreamPosition known = this.progress.position();
+		KeyedPage page = event.page().withDefaultEra(known);
+		if (known.isLaterEra(page.next())) {
+			return onReadFailed(
+					new RemedyException("The store answered with " + page.next() + " after era " + known.era(),
+							"wait; the read is retried. If the failure persists, check the address of the store"),
+					nowNanos);
+		}
 		clearFailure();
-		KeyedPage page = event.page();
-		if (page.trimmed()) {
+		if (page.next().isLaterEra(known) && !this.progress.atFirstPage()) {
+			beginEra(page.next().era());
+			read(nowNanos);
+		}
+		else if (page.trimmed()) {
 			LOGGER.info("platform: stream {} has a gap; reading the newest record of each key", this.stream);
 			this.progress.restart();
 			read(nowNanos);
@@ -132,11 +135,42 @@
 			collectNewest(page, nowNanos);
 		}
 		else {
-			applyChanges(event.from(), page, nowNanos);
+			applyChanges(event.read().from(), page, nowNanos);
 		}
 		return true;
 	}
 
+	private boolean onEra(EraNamed event, long nowNanos) {
+		StreamPosition known = this.progress.position();
+		if (!known.withEra(event.era()).isLaterEra(known)) {
+			return false;
+		}
+		boolean firstPage = this.progress.atFirstPage();
+		beginEra(event.era());
+		if (firstPage) {
+			return false;
+		}
+		// Offsets of the earlier era mean something else now, so all is read anew.
+		this.reads.abandon();
+		if (event.host().isEmpty()) {
+			read(nowNanos);
+			return true;
+		}
+		this.schedule.awaitPeer(nowNanos);
+		scheduleRead(nowNanos);
+		return this.snapshots.requestUntilReceived(event.host());
+	}
+
+	private void beginEra(long era) {
+		LOGGER.info("platform: the store is in era {}; reading the newest records of stream {}", era, this.stream);
+		boolean hadRecords = !this.progress.readingNewest();
+		this.restored |= hadRecords;
+		this.progress.restartIn(era);
+		if (hadRecords) {
+			this.records.restored();
+		}
+	}
+
 	private void collectNewest(KeyedPage page, long nowNanos) {
 		Optional<List<KeyedRecord>> newest;
 		try {
@@ -152,57 +186,42 @@
 		}
 		this.schedule.newestRead(nowNanos);
 		replaceAll(newest.get(), nowNanos);
+		if (this.restored) {
+			this.restored = false;
+			this.records.announce(this.progress.position());
+		}
 		scheduleRead(nowNanos);
 	}
 
 	private void replaceAll(List<KeyedRecord> newest, long nowNanos) {
 		this.records.replace(newest);
-		this.snapshots.takeWaiting().forEach((host) -> onSnapshotRequested(host, nowNanos));
+		this.snapshots.supplyWaiting(nowNanos);
 	}
 
 	private boolean onPeersKnown(boolean others, long nowNanos) {
-		if (!this.progress.readingNewest() || this.readPending) {
+		if (!this.progress.readingNewest() || this.reads.isPending()) {
 			return false;
 		}
 		if (others) {
-			return requestSnapshot();
+			return this.snapshots.requestUntilReceived("");
 		}
 		this.schedule.makeDue(nowNanos);
 		return readIfDue(nowNanos);
 	}
 
-	private boolean onPeerContacted(String host) {
-		if (this.progress.readingNewest()) {
-			this.snapshots.request(host);
-		}
-		return this.progress.readingNewest();
-	}
-
-	private boolean requestSnapshot() {
-		if (!this.progress.readingNewest()) {
-			return false;
-		}
-		this.snapshots.request("");
-		this.timer.after(REQUEST_MILLIS, () -> this.events.accept(new RequestDue()));
-		return true;
-	}
-
-	private boolean onSnapshotRequested(String host, long nowNanos) {
-		if (this.progress.readingNewest()) {
-			this.snapshots.postpone(host);
-			return false;
-		}
-		StreamPosition next = this.progress.position();
-		return this.schedule.isCurrent(nowNanos)
-				&& this.snapshots.supply(host, new StreamUpdate(this.stream, next, next, this.records.all()));
-	}
-
 	private boolean onSnapshot(StreamUpdate snapshot, long nowNanos) {
+		StreamPosition known = this.progress.position();
 		boolean readingNewest = this.progress.readingNewest();
-		boolean older = !readingNewest && snapshot.next().offset() <= this.progress.position().offset();
-		if (older || (readingNewest && this.readPending)) {
+		boolean newer = snapshot.next().isLaterEra(known)
+				|| (readingNewest ? snapshot.next().isSameEra(known) : snapshot.next().isAfter(known));
+		if (!newer || (readingNewest && this.reads.isPending())) {
 			return false;
 		}
+		if (snapshot.next().isLaterEra(known)) {
+			beginEra(snapshot.next().era());
+			this.reads.abandon();
+		}
+		this.restored = false;
 		this.progress.continueAfter(snapshot.next());
 		this.schedule.updateReceived(true, nowNanos);
 		replaceAll(snapshot.records(), nowNanos);
@@ -212,7 +231,7 @@
 
 	private void applyChanges(StreamPosition from, KeyedPage page, long nowNanos) {
 		StreamPosition needed = this.progress.position();
-		if (page.next().offset() >= needed.offset()) {
+		if (page.next().reaches(needed)) {
 			KeyedPage rest = StreamUpdates.skip(page, from, needed);
 			StreamPosition restFrom = StreamUpdates.isComplete(page, from) ? needed : from;
 			this.progress.advance(page.next(), PositionSource.STORE);
@@ -224,14 +243,17 @@
 
 	private boolean onUpdate(UpdateReceived event, long nowNanos) {
 		StreamUpdate update = event.update();
+		if (onEra(new EraNamed(update.next().era(), event.host()), nowNanos)) {
+			return true;
+		}
 		StreamPosition needed = this.progress.position();
-		if (onPeerContacted(event.host()) || update.next().offset() < needed.offset()) {
+		if (this.snapshots.requestFrom(event.host()) || !update.next().reaches(needed)) {
 			return false;
 		}
 		this.schedule.updateReceived(event.senderHasPriority(), nowNanos);
-		if (update.next().offset() > needed.offset() && update.from().offset() > needed.offset()) {
+		if (update.from().isAfter(needed)) {
 			if (this.failing) {
-				this.snapshots.request(event.host());
+				this.snapshots.requestMissing(event.host());
 			}
 			this.schedule.makeDue(nowNanos);
 			return readIfDue(nowNanos);
@@ -242,7 +264,6 @@
 	}
 
 	private boolean onReadFailed(Throwable failure, long nowNanos) {
-		this.readPending = false;
 		if (!this.failing) {
 			this.failing = true;
 			LOGGER.warn("platform: reading stream {} failed; continuing with the last state read: {}", this.stream,
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -5,6 +5,7 @@
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamPosition;
+import org.rattanhead.core.keyed.StreamUpdate;
 
 /**
  * The newest record of each key of a stream. Reports what changes to the listener and, if
@@ -66,6 +67,21 @@
 		this.notifications.run(() -> this.listener.onChanges(applied));
 	}
 
+	/**
+	 * Tells the listener that the store has come back from an older copy.
+	 */
+	void restored() {
+		this.notifications.run(() -> this.listener.onRestored(all()));
+	}
+
+	/**
+	 * Tells the other daemons up to where this one knows the stream.
+	 * @param next the position of the next record
+	 */
+	void announce(StreamPosition next) {
+		this.peers.sendUpdate(new StreamUpdate(this.stream, next, next, List.of()));
+	}
+
 	void readFailed() {
 		this.notifications.run(this.listener::onReadFailed);
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
@@ -70,7 +70,8 @@
 		this.table = new MemberTable(this.self);
 		Random random = new Random(seed);
 		this.serving = new ServingDecider(random);
-		KeyedStore connection = new GuardedStore(store.connect(host), time::nanos, random);
+		KeyedStore connection = new EraWatch(new GuardedStore(store.connect(host), time::nanos, random),
+				(era) -> run(() -> eraNamed(era, "")));
 		this.records = new RecordWriter(connection, (delay, action) -> time.after(delay, () -> run(action)));
 		this.random = random;
 		for (KeyedStream stream : KeyedStream.values()) {
@@ -114,8 +115,13 @@
 		});
 	}
 
+	private void eraNamed(long era, String from) {
+		this.readers.values().forEach((reader) -> reader.handle(new EraNamed(era, from), this.time.nanos()));
+	}
+
 	void receive(String host, StreamUpdate update) {
 		run(() -> {
+			eraNamed(update.next().era(), host);
 			handle(update.stream(), new UpdateReceived(host, this.table.readsFor(host, this.serves), update));
 			if (!this.loaded.contains(KeyedStream.MEMBERS)) {
 				handle(KeyedStream.MEMBERS, new PeerContacted(host));
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
@@ -22,6 +22,8 @@
  */
 final class SimulatedStore {
 
+	static final long FIRST_ERA = 1;
+
 	/** How long a call takes in each direction. */
 	private static final long LATENCY_MILLIS = 3;
 
@@ -46,7 +48,7 @@
 
 	private final Map<KeyedStream, String> lastReaders = new EnumMap<>(KeyedStream.class);
 
-	private long era = 1;
+	private long era = FIRST_ERA;
 
 	private boolean away;
 
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
@@ -113,8 +113,8 @@
 	void suppliesCurrentRecordsThatFit(long delayMillis, int bytes, int snapshots) {
 		this.store.lostHosts.add("self");
 		handle(new ReadDue(0));
-		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(7), StreamPosition.of(7),
-				List.of(record("k", bytes)))));
+		handle(new SnapshotReceived(
+				new StreamUpdate(KeyedStream.OPERATORS, position(7), position(7), List.of(record("k", bytes)))));
 		this.time.runUntil(delayMillis);
 		handle(new SnapshotRequested("other"));
 		assertThat(this.sent).hasSize(snapshots);
@@ -141,7 +141,7 @@
 			.mapToObj((index) -> record("n" + index, 1))
 			.toList();
 		handle(new UpdateReceived("other", true,
-				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(from), StreamPosition.of(next), records)));
+				new StreamUpdate(KeyedStream.OPERATORS, position(from), position(next), records)));
 		assertThat(this.applied).containsExactly("newest 3", change);
 		assertThat(this.store.takeCalls()).isEmpty();
 	}
@@ -155,14 +155,13 @@
 	void sendsTheRestOfAPageAfterAnUpdateDuringTheRead(int received, long from, int records) {
 		IntStream.range(0, 3).forEach((index) -> this.store.append(KeyedStream.OPERATORS, "k" + index, "v"));
 		handle(new ReadDue(0));
-		handle(new SnapshotReceived(
-				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(0), StreamPosition.of(0), List.of())));
+		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, position(0), position(0), List.of())));
 		this.time.runUntil(1_000);
-		handle(new UpdateReceived("other", true, new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(1_000),
-				StreamPosition.of(1_001), List.of())));
+		handle(new UpdateReceived("other", true,
+				new StreamUpdate(KeyedStream.OPERATORS, position(1_000), position(1_001), List.of())));
 		List<KeyedRecord> update = IntStream.range(0, received).mapToObj((index) -> record("k" + index, 1)).toList();
 		handle(new UpdateReceived("other", true,
-				new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(0), StreamPosition.of(received), update)));
+				new StreamUpdate(KeyedStream.OPERATORS, position(0), position(received), update)));
 		this.time.runUntil(1_100);
 		assertThat(this.updates).hasSize(1);
 		assertThat(this.updates.get(0).from().offset()).isEqualTo(from);
@@ -173,8 +172,12 @@
 		this.reader.handle(event, this.time.nanos());
 	}
 
+	private static StreamPosition position(long offset) {
+		return new StreamPosition(SimulatedStore.FIRST_ERA, offset);
+	}
+
 	private static StreamUpdate snapshot(long nextOffset, int records) {
-		return new StreamUpdate(KeyedStream.OPERATORS, StreamPosition.of(nextOffset), StreamPosition.of(nextOffset),
+		return new StreamUpdate(KeyedStream.OPERATORS, position(nextOffset), position(nextOffset),
 				IntStream.range(0, records).mapToObj((index) -> record("k" + index, 1)).toList());
 	}
 
