Keep what is newer than a restored copy of the instances

Cause: the copy from which a store comes back shows instances as they were some seconds before: one that leaves as ready, one that has left as registered; those that registered since are missing, and were dropped at once if this gateway had not noticed the outage. Change: after a restore a known entry stays unless its incarnation is newer, an unknown one is withheld until it is written again or for 4 s, a missing one stays for 2 s. Repeated entries are passed on to peers meanwhile, since gateways may know different ones. Result: RegisterTests.keepsWhatIsNewerThanARestoredCopy (13 rows) and passesOnRepeatedEntriesAfterARestore (3 rows) pass; the registry had no such notion before.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/InstanceRecordListener.java
@@ -42,6 +42,11 @@
 		this.clock = clock;
 	}
 
+	@Override
+	public void onRestored(List<KeyedRecord> known) {
+		this.registry.onStoreRestored(this.clock.getAsLong());
+	}
+
 	@Override
 	public void onNewest(List<KeyedRecord> records) {
 		this.registry.onStoreRead(this.clock.getAsLong());
@@ -58,11 +63,12 @@
 	 */
 	@Override
 	public List<KeyedRecord> selectRelevant(List<KeyedRecord> records) {
+		long nowNanos = this.clock.getAsLong();
 		Set<String> changed = new HashSet<>();
 		for (KeyedRecord record : records) {
 			if (!record.value()
 				.flatMap((value) -> InstanceDecoder.decode(record.key(), value))
-				.filter(this.registry::isCurrent)
+				.filter((instance) -> this.registry.isCurrent(instance, nowNanos))
 				.isPresent()) {
 				changed.add(record.key());
 			}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/register/InstanceRegistry.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/register/InstanceRegistry.java
@@ -14,7 +14,9 @@
 /**
  * The registered upstream instances. Entries that are found missing when the store
  * becomes reachable again are kept for a grace period, since live instances register
- * again.
+ * again. After the store was restored from an older copy, what is known is newer than
+ * what the copy has: known entries stay as they are, and unknown ones, whose instances
+ * may have left since, are withheld until the instance writes again.
  */
 public final class InstanceRegistry {
 
@@ -24,8 +26,16 @@
 	 */
 	private static final long RECOVERY_GRACE_NANOS = Millis.toNanos(2_000);
 
+	/**
+	 * How long entries of a restored copy are withheld. The store removes those of
+	 * instances that are silent for three heartbeat intervals.
+	 */
+	private static final long RESTORE_NANOS = Millis.toNanos(4_000);
+
 	private final Map<String, UpstreamInstance> instances = new TreeMap<>();
 
+	private final Map<String, UpstreamInstance> withheld = new HashMap<>();
+
 	private final Map<String, Long> removalDueNanos = new HashMap<>();
 
 	private boolean storeUnreachable;
@@ -34,22 +44,30 @@
 
 	private long graceEndNanos;
 
+	private boolean restored;
+
+	private long restoreEndNanos;
+
 	/**
 	 * Adds or updates an entry.
 	 * @param instance the instance
 	 */
 	public void put(UpstreamInstance instance) {
+		this.withheld.remove(instance.id());
 		this.removalDueNanos.remove(instance.id());
 		this.instances.put(instance.id(), instance);
 	}
 
 	/**
-	 * Returns whether an entry is registered as given and not about to be removed.
+	 * Returns whether an entry is registered as given and not about to be removed. Never
+	 * true for some time after a restore, since daemons may know different entries then.
 	 * @param instance the instance
-	 * @return true if putting it would change nothing
+	 * @param nowNanos the time on the monotonic clock
+	 * @return true if putting it would change nothing, here and on other daemons
 	 */
-	public boolean isCurrent(UpstreamInstance instance) {
-		return instance.equals(this.instances.get(instance.id())) && !this.removalDueNanos.containsKey(instance.id());
+	public boolean isCurrent(UpstreamInstance instance, long nowNanos) {
+		return !(this.restored && nowNanos < this.restoreEndNanos) && instance.equals(this.instances.get(instance.id()))
+				&& !this.removalDueNanos.containsKey(instance.id());
 	}
 
 	/**
@@ -61,6 +79,7 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	public void remove(String id, long nowNanos) {
+		this.withheld.remove(id);
 		if (this.storeUnreachable || nowNanos < this.graceEndNanos) {
 			this.removalDueNanos.putIfAbsent(id, Math.max(this.graceEndNanos, nowNanos));
 		}
@@ -77,14 +96,30 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	public void replace(List<UpstreamInstance> storedInstances, long nowNanos) {
+		boolean copied = this.restored && nowNanos < this.restoreEndNanos;
 		Set<String> missingIds = new HashSet<>(this.instances.keySet());
 		for (UpstreamInstance instance : storedInstances) {
 			missingIds.remove(instance.id());
-			put(instance);
+			if (copied) {
+				putCopied(instance);
+			}
+			else {
+				put(instance);
+			}
 		}
 		missingIds.forEach((id) -> remove(id, nowNanos));
 	}
 
+	private void putCopied(UpstreamInstance instance) {
+		UpstreamInstance known = this.instances.get(instance.id());
+		if (known == null) {
+			this.withheld.put(instance.id(), instance);
+		}
+		else if (instance.incarnation() > known.incarnation()) {
+			put(instance);
+		}
+	}
+
 	/**
 	 * Records that the store cannot be read. Has no effect before the first successful
 	 * read.
@@ -106,13 +141,28 @@
 	}
 
 	/**
-	 * Removes missing entries whose grace period is over.
+	 * Records that the store was restored from an older copy.
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	public void onStoreRestored(long nowNanos) {
+		this.restored = true;
+		this.graceEndNanos = nowNanos + RECOVERY_GRACE_NANOS;
+		this.restoreEndNanos = nowNanos + RESTORE_NANOS;
+	}
+
+	/**
+	 * Removes missing entries whose grace period is over, and accepts those that were
+	 * withheld and are still stored.
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	public void expire(long nowNanos) {
 		if (this.storeUnreachable) {
 			return;
 		}
+		if (this.restored && nowNanos >= this.restoreEndNanos) {
+			this.restored = false;
+			List.copyOf(this.withheld.values()).forEach(this::put);
+		}
 		for (Map.Entry<String, Long> removal : List.copyOf(this.removalDueNanos.entrySet())) {
 			if (nowNanos >= removal.getValue()) {
 				this.removalDueNanos.remove(removal.getKey());
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/register/RegisterTests.java
@@ -39,6 +39,49 @@
 		assertThat(register.instances().contains(INSTANCE)).isEqualTo(registered);
 	}
 
+	/**
+	 * Guards against an instance that gets work again because a restored store shows it
+	 * as it was before it left, and against one that is lost with its entry.
+	 */
+	@ParameterizedTest(name = "known {0}, in the copy {1}, written again {2}, after {3} ms: {4}")
+	@CsvSource({ "draining, ready, '', 100, draining", "draining, ready, '', 9000, draining",
+			"draining, ready, ready, 100, ready", "ready, draining, '', 100, ready", "gone, ready, '', 100, gone",
+			"gone, ready, '', 3900, gone", "gone, ready, '', 4100, ready", "gone, ready, ready, 100, ready",
+			"ready, gone, '', 1900, ready", "ready, gone, '', 2100, gone", "ready, gone, ready, 9000, ready",
+			"ready, newer, '', 100, newer", "gone, ready, gone, 9000, gone" })
+	void keepsWhatIsNewerThanARestoredCopy(String known, String copied, String written, long millis, String expected) {
+		InstanceRegistry register = new InstanceRegistry();
+		register.onStoreRead(0);
+		register.replace(entries(known), 0);
+		register.onStoreRestored(0);
+		register.replace(entries(copied), 0);
+		entries(written).forEach(register::put);
+		if (written.equals("gone")) {
+			register.remove("i", 0);
+		}
+		register.expire(Millis.toNanos(millis));
+		assertThat(register.instances()).isEqualTo(entries(expected));
+	}
+
+	private static List<UpstreamInstance> entries(String state) {
+		return switch (state) {
+			case "ready" -> List.of(INSTANCE);
+			case "draining" -> List.of(new UpstreamInstance("i", "s", "10.0.0.1:80", "d", 4, true, 0, 1));
+			case "newer" -> List.of(new UpstreamInstance("i", "s", "10.0.0.1:80", "d", 4, false, 0, 2));
+			default -> List.of();
+		};
+	}
+
+	/** Guards against an entry that another daemon needs and does not get. */
+	@ParameterizedTest(name = "{0} ms after a restore: repeats are passed on {1}")
+	@CsvSource({ "0, true", "3900, true", "4100, false" })
+	void passesOnRepeatedEntriesAfterARestore(long millis, boolean passedOn) {
+		InstanceRegistry register = new InstanceRegistry();
+		register.put(INSTANCE);
+		register.onStoreRestored(0);
+		assertThat(register.isCurrent(INSTANCE, Millis.toNanos(millis))).isEqualTo(!passedOn);
+	}
+
 	@ParameterizedTest(name = "registered again after {0} ms")
 	@ValueSource(longs = { 10, 1_500 })
 	void keepsAnEntryThatIsRegisteredAgain(long millis) {
