Keep evacuations that a restored store lacks

Cause: the newest records replaced the evacuated failure domains, so that an evacuation that the store had lost ended until the operators wrote it again. EvacuatedDomains holds the rule; the listener publishes changes only.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -148,7 +148,7 @@
 		MeshStreams peers = new MeshStreams(mesh);
 		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream, new KeyedFollower(
 				store, () -> plans.plan(stream), this.ticker, listener, peers, this.metrics::position));
-		follow.accept(KeyedStream.OPERATORS, new OperatorRecordListener(this.decisions, this.status));
+		follow.accept(KeyedStream.OPERATORS, new OperatorRecordListener(this.decisions, this.status, System::nanoTime));
 		follow.accept(KeyedStream.INSTANCES, new InstanceRecordListener(this.decisions, this.status, System::nanoTime));
 		Announcement announcement = new Announcement(this.self,
 				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
@@ -1,8 +1,9 @@
 package org.rattanhead.daemon.gateway;
 
-import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -15,6 +16,7 @@
 import org.rattanhead.decision.forward.ConfigurationApplied;
 import org.rattanhead.decision.forward.DomainsEvacuated;
 import org.rattanhead.decision.forward.ForwardEvent;
+import org.rattanhead.decision.register.EvacuatedDomains;
 import org.rattanhead.platform.keyed.KeyedListener;
 import org.rattanhead.ring.EventSink;
 import org.rattanhead.ring.Urgency;
@@ -30,25 +32,34 @@
 
 	private final GatewayStatus status;
 
-	private final Set<String> evacuated = new HashSet<>();
+	private final LongSupplier clock;
 
-	OperatorRecordListener(EventSink<ForwardEvent> decisions, GatewayStatus status) {
+	private final EvacuatedDomains evacuated = new EvacuatedDomains();
+
+	private Optional<Set<String>> published = Optional.empty();
+
+	OperatorRecordListener(EventSink<ForwardEvent> decisions, GatewayStatus status, LongSupplier clock) {
 		this.decisions = decisions;
 		this.status = status;
+		this.clock = clock;
+	}
+
+	@Override
+	public void onRestored(List<KeyedRecord> known) {
+		this.evacuated.onStoreRestored(this.clock.getAsLong());
 	}
 
 	@Override
 	public void onNewest(List<KeyedRecord> records) {
 		this.evacuated.clear();
-		apply(records);
-		publishEvacuated();
+		onChanges(records);
 	}
 
 	@Override
 	public void onChanges(List<KeyedRecord> records) {
-		if (apply(records)) {
-			publishEvacuated();
-		}
+		records.forEach(this::apply);
+		this.evacuated.expire(this.clock.getAsLong());
+		publishIfChanged();
 	}
 
 	@Override
@@ -56,18 +67,18 @@
 		// The current configuration and evacuations stay in force.
 	}
 
-	private boolean apply(List<KeyedRecord> records) {
-		boolean domainsChanged = false;
-		for (KeyedRecord record : records) {
-			if (OperatorRecords.isConfiguration(record)) {
-				record.value().ifPresent((value) -> applyConfiguration(record));
-			}
-			domainsChanged |= OperatorRecords.evacuatedDomain(record)
-				.map((domain) -> record.value().isPresent() ? this.evacuated.add(domain)
-						: this.evacuated.remove(domain))
-				.orElse(false);
+	private void apply(KeyedRecord record) {
+		if (OperatorRecords.isConfiguration(record) && record.value().isPresent()) {
+			applyConfiguration(record);
 		}
-		return domainsChanged;
+		OperatorRecords.evacuatedDomain(record).ifPresent((domain) -> {
+			if (record.value().isPresent()) {
+				this.evacuated.add(domain);
+			}
+			else {
+				this.evacuated.remove(domain);
+			}
+		});
 	}
 
 	private void applyConfiguration(KeyedRecord record) {
@@ -81,9 +92,13 @@
 		}
 	}
 
-	private void publishEvacuated() {
-		LOGGER.info("platform: failure domains taken out: {}", this.evacuated);
-		this.decisions.offer(new DomainsEvacuated(Set.copyOf(this.evacuated)), Urgency.COMPLETION);
+	private void publishIfChanged() {
+		Set<String> domains = this.evacuated.domains();
+		if (!this.published.equals(Optional.of(domains))) {
+			this.published = Optional.of(domains);
+			LOGGER.info("platform: failure domains taken out: {}", domains);
+			this.decisions.offer(new DomainsEvacuated(domains), Urgency.COMPLETION);
+		}
 	}
 
 }
