Write again the records of gateways that a restored store has lost

Cause: an announcement or a blocked suspect that a gateway had written was lost with the copy for as long as the gateway ran; a suspect whose record had been deleted since was blocked again. Change: after a restore a gateway writes again its announcement and those of its records that stood in the store before and do not now, deletions too. Records that another gateway has overwritten are left to it. Suspects that the copy has and this gateway did not know are left out. Result: new rows of AnnouncementTests (4), RecordWriterTests (6) and MemberRecordListenerTests (3) pass.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
@@ -9,9 +9,10 @@
 import org.rattanhead.core.keyed.KeyedRecord;
 
 /**
- * Announces this daemon after a start, once the announcements of all daemons were read. A
- * daemon that starts again soon at the same addresses leaves its announcement as it is,
- * since the others learn the time of its start from its heartbeats.
+ * Announces this daemon after a start, once the announcements of all daemons were read,
+ * and again if the store has lost the announcement. A daemon that starts again soon at
+ * the same addresses leaves its announcement as it is, since the others learn the time of
+ * its start from its heartbeats.
  */
 final class Announcement {
 
@@ -27,7 +28,9 @@
 
 	private final Consumer<Boolean> onPeersKnown;
 
-	private boolean done;
+	private boolean started;
+
+	private boolean restored;
 
 	/**
 	 * Creates the announcement.
@@ -41,16 +44,25 @@
 		this.onPeersKnown = onPeersKnown;
 	}
 
+	/** Lets the next newest records be checked as at the start. */
+	void onRestored() {
+		this.restored = true;
+	}
+
 	void onNewest(List<KeyedRecord> records) {
-		if (this.done) {
+		if (this.started && !this.restored) {
 			return;
 		}
-		this.done = true;
+		this.restored = false;
 		List<Member> members = records.stream().flatMap((record) -> decode(record).stream()).toList();
 		boolean announced = members.stream().anyMatch(this::announcesSelf);
 		if (!announced) {
 			this.write.run();
 		}
+		if (this.started) {
+			return;
+		}
+		this.started = true;
 		// Callers still use the address of a daemon that starts again, and it refuses
 		// them
 		// until it has read. If all daemons start again, none of them has records to
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -152,8 +152,10 @@
 		follow.accept(KeyedStream.INSTANCES, new InstanceRecordListener(this.decisions, this.status, System::nanoTime));
 		Announcement announcement = new Announcement(this.self,
 				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
-		follow.accept(KeyedStream.MEMBERS, new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
-				(changes) -> this.decisions.offer(changes, Urgency.COMPLETION), announcement::onNewest, this.status));
+		follow.accept(KeyedStream.MEMBERS,
+				new MemberRecordListener((member) -> mesh.offer(new MemberAnnounced(member)),
+						(changes) -> this.decisions.offer(changes, Urgency.COMPLETION),
+						new OwnMemberRecords(announcement, records), this.status));
 		LOGGER.info("daemon: {} started; callers connect to {}", settings.host(), this.self.callersAddress());
 	}
 
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/AnnouncementTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/AnnouncementTests.java
@@ -41,6 +41,19 @@
 		assertThat(this.events).containsExactlyElementsOf(written ? List.of("write", others) : List.of(others));
 	}
 
+	/** Guards against a daemon that a restored store no longer announces. */
+	@ParameterizedTest(name = "announced at first {0}, restored {1}, in the copy {2}: {3} writes")
+	@CsvSource({ "true, true, false, 1", "true, true, true, 0", "true, false, false, 0", "false, true, false, 2" })
+	void writesAgainWhatARestoredStoreLacks(boolean first, boolean restored, boolean copied, int writes) {
+		KeyedRecord record = new KeyedRecord("self", Optional.of(MemberRecordCodec.encode(SELF)));
+		this.announcement.onNewest(first ? List.of(record) : List.of());
+		if (restored) {
+			this.announcement.onRestored();
+		}
+		this.announcement.onNewest(copied ? List.of(record) : List.of());
+		assertThat(this.events.stream().filter("write"::equals)).hasSize(writes);
+	}
+
 	/**
 	 * Guards against a daemon that starts again and refuses its callers while it waits
 	 * for the records of others, which start again as well.
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/MemberRecordListenerTests.java
@@ -13,6 +13,7 @@
 import org.rattanhead.core.forward.Member;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.decision.forward.StoredSuspectsChanged;
+import org.rattanhead.platform.keyed.RecordWriter;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -21,15 +22,19 @@
  */
 class MemberRecordListenerTests {
 
+	private static final Member SELF = new Member("self", 1, "10.0.0.9:80", "10.0.0.9:90", 0);
+
 	private final List<Member> members = new ArrayList<>();
 
 	private final List<StoredSuspectsChanged> changes = new ArrayList<>();
 
-	private final GatewayStatus status = new GatewayStatus(new Member("self", 1, "10.0.0.9:80", "10.0.0.9:90", 0));
+	private final GatewayStatus status = new GatewayStatus(SELF);
 
 	private final MemberRecordListener listener = new MemberRecordListener(this.members::add, this.changes::add,
-			(records) -> {
-			}, this.status);
+			new OwnMemberRecords(new Announcement(SELF, () -> {
+			}, (wait) -> {
+			}), new RecordWriter(null, (delayMillis, action) -> {
+			})), this.status);
 
 	@ParameterizedTest(name = "suspect {0}, blocked {1}")
 	@CsvSource({ "0, true", "7, true", "7, false", "-1, true", "96483650265325, false", "-9223372036854775808, true" })
@@ -41,6 +46,21 @@
 		assertThat(this.members).isEmpty();
 	}
 
+	/**
+	 * Guards against a suspect that is blocked again because a restored store has its
+	 * deleted record.
+	 */
+	@ParameterizedTest(name = "known {0}, copy {1}: {2} blocked")
+	@CsvSource({ "true, true, 1", "false, true, 0", "true, false, 0" })
+	void leavesOutSuspectsDeletedAfterTheCopy(boolean known, boolean copied, int blocked) {
+		KeyedRecord record = new KeyedRecord(SuspectRecordCodec.key(7), Optional.of(SuspectRecordCodec.BLOCKED));
+		this.listener.onRestored(known ? List.of(record) : List.of());
+		this.listener.onNewest(copied ? List.of(record) : List.of());
+		assertThat(this.changes).hasSize(blocked);
+		this.listener.onNewest(List.of(record));
+		assertThat(this.changes).hasSize(blocked + 1);
+	}
+
 	@ParameterizedTest(name = "key {0}")
 	@ValueSource(strings = { "suspect", "suspect/", "suspect/xyz", "suspect/11112222333344445", "a" })
 	void ignoresOtherRecords(String key) {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/RecordWriterTests.java
@@ -1,6 +1,7 @@
 package org.rattanhead.daemon.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -8,6 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.rattanhead.core.Payload;
+import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.problem.RemedyException;
@@ -50,6 +52,24 @@
 		}
 	};
 
+	/** Guards against a record that a restored store has lost and nobody writes again. */
+	@ParameterizedTest(name = "own {0}, known before {1}, in the copy {2}: written again {3}")
+	@CsvSource({ "blocked, blocked, '', true", "blocked, blocked, blocked, false", "blocked, '', '', false",
+			"'', '', blocked, true", "'', '', '', false", "'', blocked, blocked, false" })
+	void writesAgainWhatARestoredStoreLacks(String own, String known, String copied, boolean again) {
+		this.available = true;
+		RecordWriter writer = new RecordWriter(this.store, (delayMillis, action) -> action.run());
+		writer.put("k", Payload.of(own));
+		this.written.clear();
+		writer.onRestored(records(known));
+		writer.rewriteLost(records(copied));
+		assertThat(this.written).containsExactlyElementsOf(again ? List.of("k=" + own) : List.of());
+	}
+
+	private static List<KeyedRecord> records(String value) {
+		return value.isEmpty() ? List.of() : List.of(new KeyedRecord("k", Optional.of(Payload.of(value))));
+	}
+
 	@ParameterizedTest(name = "deleted before the store returns: {0}")
 	@CsvSource({ "false, k=blocked", "true, k=" })
 	void writesTheNewestValueOnceTheStoreReturns(boolean deleted, String expected) throws Exception {
