Step aside while only other gateways reach the servers

Cause: readiness and the directory followed from the configuration and the heartbeats only; what a gateway can reach played no part, and no log, metric or message told it. Change: heartbeats carry the time since a server last answered the sender. If none answers, and a ready gateway reports an answer later than the first such round, this gateway is stranded: it is not ready, sends its heartbeat at once and is left out by all directories, until a probe is answered. If no gateway reports answers, nobody steps aside.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -142,7 +142,7 @@
 		KeyedStore store = new EraWatch(connectStore(), (era) -> followers.eraNamed(era, ""));
 		RecordWriter records = new RecordWriter(store, this.ticker::after);
 		this.router.complete(new GatewayRouter(this.frontEnd.replies(), calls, mesh, this.metrics, records,
-				this.drained::countDown));
+				this::publishReach, this.drained::countDown));
 		this.ticker.every(IDLE_TICK_MILLIS, this.ticks::offerTick);
 		this.ticker.every(HEARTBEAT_PERIOD_MILLIS, () -> this.decisions.offer(new HeartbeatDue(), Urgency.STREAM));
 		MeshStreams peers = new MeshStreams(mesh);
@@ -211,6 +211,11 @@
 		}
 	}
 
+	private void publishReach(boolean stranded) {
+		this.status.updateStranded(stranded);
+		this.decisions.offer(new HeartbeatDue(), Urgency.CONTROL);
+	}
+
 	private ForwardSettings forwardSettings() {
 		return new ForwardSettings(this.settings.callersAddress(), MAX_HEADER_BYTES, MAX_BODY_BYTES,
 				HEADER_TIMEOUT_MILLIS, BODY_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayRouter.java
@@ -1,6 +1,7 @@
 package org.rattanhead.daemon.gateway;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,12 +19,14 @@
 import org.rattanhead.decision.forward.ForwardDrained;
 import org.rattanhead.decision.forward.GrantBytes;
 import org.rattanhead.decision.forward.LogDecision;
+import org.rattanhead.decision.forward.ProbeInstance;
 import org.rattanhead.decision.forward.PublishCrashes;
 import org.rattanhead.decision.forward.PublishHeartbeat;
 import org.rattanhead.decision.forward.PublishLimits;
 import org.rattanhead.decision.forward.PublishLoadEnded;
 import org.rattanhead.decision.forward.PublishLoadStarted;
 import org.rattanhead.decision.forward.PublishNotice;
+import org.rattanhead.decision.forward.PublishReach;
 import org.rattanhead.decision.forward.RefuseRequest;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReportBalance;
@@ -48,7 +51,7 @@
 	private final DecisionLog log = new DecisionLog();
 
 	GatewayRouter(ForwardReplyWriter replies, ForwardCallDuty calls, MeshDuty mesh, GatewayMetrics metrics,
-			RecordWriter records, Runnable onDrained) {
+			RecordWriter records, Consumer<Boolean> onReach, Runnable onDrained) {
 		this.replies = replies;
 		this.handlers.on(CallInstance.class, (command, now) -> done(() -> calls.call(command)))
 			.on(AbortAttempt.class, (command, now) -> done(() -> calls.abort(command)))
@@ -75,6 +78,8 @@
 				metrics.count(command);
 				this.log.write(command, now);
 			}))
+			.on(ProbeInstance.class, (command, now) -> done(() -> calls.probe(command)))
+			.on(PublishReach.class, (command, now) -> done(() -> onReach.accept(command.stranded())))
 			.on(ReportBalance.class, (command, now) -> done(() -> metrics.balance(command)))
 			.on(ForwardDrained.class, (command, now) -> done(onDrained))
 			.covering(ForwardCommand.class);
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/GatewayStatus.java
@@ -28,6 +28,8 @@
 
 	private volatile boolean draining;
 
+	private volatile boolean stranded;
+
 	private volatile boolean serving;
 
 	private volatile List<Member> otherServingMembers = List.of();
@@ -68,6 +70,10 @@
 		this.draining = true;
 	}
 
+	void updateStranded(boolean nowStranded) {
+		this.stranded = nowStranded;
+	}
+
 	void updateServing(boolean selfServing, List<Member> newOtherServingMembers) {
 		this.serving = selfServing;
 		this.otherServingMembers = newOtherServingMembers;
@@ -84,11 +90,12 @@
 
 	/**
 	 * Returns whether callers may use this gateway. It waits for the stored suspects,
-	 * since it would send the requests with which instances crash.
+	 * since it would send the requests with which instances crash, and does not accept
+	 * callers while only other gateways reach the instances.
 	 * @return true if they may
 	 */
 	boolean ready() {
-		return loaded() && this.membersLoaded && !this.draining;
+		return loaded() && this.membersLoaded && !this.draining && !this.stranded;
 	}
 
 	/**
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/MeshDuty.java
@@ -1,8 +1,6 @@
 package org.rattanhead.daemon.gateway;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -22,6 +20,7 @@
 import org.rattanhead.core.keyed.KeyedStream;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.decision.forward.ForwardEvent;
+import org.rattanhead.decision.forward.PeerContactReported;
 import org.rattanhead.decision.forward.PeerCountChanged;
 import org.rattanhead.decision.forward.PeerCrashesReceived;
 import org.rattanhead.decision.forward.PeerHeartbeatReceived;
@@ -50,11 +49,6 @@
 
 	private static final int RING_SLOTS = 4_096;
 
-	/** The daemons asked at a time for the records of a stream; some may not answer. */
-	private static final int SUPPLIERS_ASKED = 3;
-
-	private final Random random = new Random();
-
 	private final Member self;
 
 	private final GatewayStatus status;
@@ -67,6 +61,8 @@
 
 	private final MemberTable table;
 
+	private final SnapshotSuppliers suppliers;
+
 	private final MeshNetwork network;
 
 	private final Duty<MeshEvent> duty;
@@ -94,6 +90,7 @@
 		this.followers = followers;
 		this.plans = plans;
 		this.table = new MemberTable(self);
+		this.suppliers = new SnapshotSuppliers(this.table, new Random());
 		HandlerTable<MeshEvent, Boolean> handlers = sendHandlers().on(MemberAnnounced.class, (event, now) -> {
 			this.table.add(event.member(), now);
 			return true;
@@ -199,10 +196,7 @@
 	}
 
 	private boolean requestSnapshot(RequestSnapshot event) {
-		List<Member> candidates = this.table.find(event.host()).map(List::of).orElseGet(this.table::serving);
-		List<Member> receivers = new ArrayList<>(candidates.isEmpty() ? this.table.recipients() : candidates);
-		Collections.shuffle(receivers, this.random);
-		List<Member> asked = receivers.subList(0, Math.min(SUPPLIERS_ASKED, receivers.size()));
+		List<Member> asked = this.suppliers.select(event.host());
 		// A daemon that has just started may not be known to those that it asks. A daemon
 		// that has all records has load that an empty heartbeat would end.
 		if (!this.status.loaded()) {
@@ -224,6 +218,8 @@
 		if (!this.serving) {
 			this.table.receiveReport(heartbeat.servingMembers(), nowNanos);
 		}
+		this.decisions.offer(new PeerContactReported(heartbeat.member().host(), heartbeat.member().meshAddress(),
+				heartbeat.ready(), heartbeat.contactAgeMillis()), Urgency.STREAM);
 		boolean empty = heartbeat.load().isEmpty() && heartbeat.crashes().isEmpty() && heartbeat.limits().isEmpty();
 		if (!empty) {
 			this.peersWithLoad.add(heartbeat.member().host());
@@ -262,7 +258,8 @@
 	private void sendHeartbeat(PublishHeartbeat command, boolean servedBefore) {
 		List<Member> servingPeers = this.table.serving();
 		MemberHeartbeat heartbeat = new MemberHeartbeat(this.self, this.status.ready(), this.serving,
-				command.configurationVersion(), command.load(), command.crashes(), List.of(), command.limits());
+				command.configurationVersion(), command.load(), command.crashes(), List.of(), command.limits(),
+				command.contactAgeMillis());
 		if (this.serving || servedBefore) {
 			this.network.sendHeartbeat(this.table.loadRecipients(), heartbeat);
 			if (servedBefore != this.serving || this.heartbeatCount % ServingDecider.SERVER_REPORT_PERIODS == 0) {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/CommandFaultTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/CommandFaultTests.java
@@ -63,7 +63,8 @@
 	}
 
 	private static GatewayRouter router(RecordedReplies replies) {
-		return new GatewayRouter(replies, null, null, new GatewayMetrics(), null, () -> {
+		return new GatewayRouter(replies, null, null, new GatewayMetrics(), null, (stranded) -> {
+		}, () -> {
 		});
 	}
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -20,12 +20,6 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
-	/** The attempts of one request, including those that did not run. */
-	private static final int MAX_ATTEMPTS = 5;
-
-	/** The remaining time below which another attempt is not worth starting. */
-	private static final long MIN_RETRY_MILLIS = 60;
-
 	/** The extension of the timeout while the engine still responds to other requests. */
 	private static final long TIMEOUT_EXTENSION_MILLIS = 300;
 
@@ -39,11 +33,14 @@
 
 	private final Dispatcher dispatcher;
 
+	private final RetryRules retries;
+
 	private final CrashEvidence evidence;
 
 	AttemptRules(ForwardState state, Dispatcher dispatcher) {
 		this.state = state;
 		this.dispatcher = dispatcher;
+		this.retries = new RetryRules(state);
 		this.evidence = new CrashEvidence(state);
 	}
 
@@ -58,7 +55,8 @@
 					commands);
 		}
 		else if (head.status() >= FIRST_SERVER_ERROR && forwarding.route().repeatable()
-				&& mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasAlternative(forwarding, nowNanos)) {
+				&& this.retries.allowed(forwarding, true, nowNanos)
+				&& this.dispatcher.hasAlternative(forwarding, nowNanos)) {
 			commands.add(new AbortAttempt(forwarding.attempt()));
 			forwarding.plan().primary().failed(nowNanos);
 			forwarding.exclude(forwarding.plan().primary().instance().id());
@@ -125,6 +123,7 @@
 			List<ForwardCommand> commands) {
 		forwarding.plan().primary().failed(nowNanos);
 		forwarding.exclude(forwarding.plan().primary().instance().id());
+		this.state.reach().failed(forwarding, fault, nowNanos);
 		if (fault == AttemptFault.NOT_SENT) {
 			forwarding.didNotRun();
 		}
@@ -175,7 +174,8 @@
 				&& (this.dispatcher.capacity().mayBeQueued(forwarding) || forwarding.extend(MAX_TIMEOUT_EXTENSIONS))) {
 			forwarding.stage(forwarding.stage(), nowNanos + Millis.toNanos(TIMEOUT_EXTENSION_MILLIS));
 		}
-		else if (mayRetry(forwarding, true, nowNanos) && this.dispatcher.hasAlternative(forwarding, nowNanos)) {
+		else if (this.retries.allowed(forwarding, true, nowNanos)
+				&& this.dispatcher.hasAlternative(forwarding, nowNanos)) {
 			commands.add(new AbortAttempt(forwarding.attempt()));
 			attemptFailed(forwarding, AttemptFault.TIMED_OUT, "no data received before the timeout", nowNanos,
 					commands);
@@ -248,22 +248,11 @@
 		retryOrFail(forwarding, "not run, status " + head.status(), true, nowNanos, commands);
 	}
 
-	private boolean mayRetry(Forwarding forwarding, boolean wasSent, long nowNanos) {
-		boolean safe = forwarding.runs() == 0 || forwarding.route().repeatable();
-		ReplyRelay relay = forwarding.relay();
-		boolean continuable = !relay.started() || (relay.streamed() && forwarding.route().resumable());
-		return safe && continuable && forwarding.runs() < Math.max(1, forwarding.route().maxAttempts())
-				&& forwarding.attempts() < MAX_ATTEMPTS && forwarding.remainingMillis(nowNanos) > MIN_RETRY_MILLIS
-				&& (!wasSent || this.state.budget()
-					.allows(forwarding.service().name(), forwarding.worth(), forwarding.rank(), nowNanos))
-				&& this.state.suspects().findBlocked(forwarding.request().crashKeys(), nowNanos).isEmpty();
-	}
-
 	private void retryOrFail(Forwarding forwarding, String detail, boolean wasSent, long nowNanos,
 			List<ForwardCommand> commands) {
 		this.dispatcher.releaseAttempt(forwarding, nowNanos, commands);
 		commands.add(AttemptLog.decision("failed-attempt", forwarding, detail, nowNanos));
-		if (mayRetry(forwarding, wasSent, nowNanos)
+		if (this.retries.allowed(forwarding, wasSent, nowNanos)
 				&& !this.dispatcher.dispatch(forwarding, nowNanos, commands).refused()) {
 			if (wasSent) {
 				this.state.budget().retry(forwarding.service().name(), nowNanos);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/FleetEvents.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/FleetEvents.java
@@ -57,7 +57,8 @@
 			.on(PeerCrashesReceived.class,
 					(event, now) -> changed(() -> this.state.suspects().receive(event.reports(), now)))
 			.on(StoredSuspectsChanged.class, (event, now) -> changed(() -> storedSuspectsChanged(event, now)))
-			.on(PeerUnresponsive.class, (event, now) -> changed(() -> fleet.lost(event.host(), now)))
+			.on(PeerContactReported.class, (event, now) -> this.state.reach().peerReported(event, now))
+			.on(PeerUnresponsive.class, (event, now) -> changed(() -> peerLost(event.host(), now)))
 			.on(PeerCountChanged.class, (event, now) -> changed(() -> {
 				fleet.daemons(event.daemons());
 				fleet.turns().share(new FleetShare(event.daemons(), event.heard()));
@@ -85,6 +86,11 @@
 		this.state.suspects().restore(event.stored(), nowNanos);
 	}
 
+	private void peerLost(String host, long nowNanos) {
+		this.state.fleet().lost(host, nowNanos);
+		this.state.reach().peerLost(host);
+	}
+
 	private List<ForwardCommand> messageReceived(String host, long nowNanos, Runnable change) {
 		this.state.fleet().activity().messageReceived(host, nowNanos);
 		return changed(change);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardCommand.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardCommand.java
@@ -6,6 +6,6 @@
 public sealed interface ForwardCommand permits CallInstance, AbortAttempt, GrantBytes, BeginReply, ContinueReply,
 		FinishReply, AbortReply, RefuseRequest, ReserveTicket, ReleaseTicket, PublishLoadStarted, PublishLoadEnded,
 		PublishHeartbeat, LogDecision, ForwardDrained, PublishCrashes, StoreSuspect, DeleteSuspect, PublishNotice,
-		PublishLimits, ReportBalance {
+		PublishLimits, ReportBalance, ProbeInstance, PublishReach {
 
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -126,6 +126,7 @@
 							(forwarding, commands) -> written(forwarding, event.bytes(), commands)))
 			.on(TicketReplied.class, this::ticketReplied)
 			.on(ForwardTick.class, (event, now) -> tick(now))
+			.on(InstanceProbed.class, (event, now) -> this.state.reach().probed(event, now))
 			.on(HeartbeatDue.class, (event, now) -> {
 				List<ForwardCommand> commands = new ArrayList<>(List.of(heartbeat(now)));
 				if (this.state.fleet().even()) {
@@ -221,6 +222,7 @@
 		this.faults.confine(commands, () -> this.state.fleet().expire(nowNanos));
 		this.faults.confine(commands, () -> this.state.tickets().tick(nowNanos, commands));
 		this.faults.confine(commands, () -> this.crashes.publish(nowNanos, commands));
+		this.faults.confine(commands, () -> this.state.reach().tick(nowNanos, commands));
 		return commands;
 	}
 
@@ -243,7 +245,7 @@
 		long version = this.state.routes().map((routes) -> routes.configuration().version()).orElse(0L);
 		List<LoadEntry> load = this.state.all().stream().flatMap((forwarding) -> forwarding.load().stream()).toList();
 		return new PublishHeartbeat(version, load, this.state.suspects().reports(nowNanos),
-				this.limits.reports(nowNanos));
+				this.limits.reports(nowNanos), this.state.reach().contactAgeMillis(nowNanos));
 	}
 
 	private List<ForwardCommand> drain(ForwardDraining event) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardState.java
@@ -35,6 +35,8 @@
 
 	private final ReplyMemory replyMemory;
 
+	private final ReachRules reach;
+
 	private final Map<RequestId, Forwarding> requests = new LinkedHashMap<>();
 
 	private RouteTable routes;
@@ -55,6 +57,7 @@
 		this.refuseFrom = limits.refuseFrom();
 		this.budget = new RetryBudget(limits);
 		this.tickets = new TicketRegistry(limits.maxHoldMillis());
+		this.reach = new ReachRules(this);
 	}
 
 	String self() {
@@ -85,6 +88,10 @@
 		return this.storedSuspects;
 	}
 
+	ReachRules reach() {
+		return this.reach;
+	}
+
 	TicketRegistry tickets() {
 		return this.tickets;
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/InstanceLoad.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.EngineModel;
@@ -47,6 +48,8 @@
 
 	private long lastResponseNanos;
 
+	private OptionalLong answeredNanos = OptionalLong.empty();
+
 	private int ownRequests;
 
 	private int otherRequests;
@@ -202,9 +205,18 @@
 
 	void responseReceived(long nowNanos) {
 		this.lastResponseNanos = nowNanos;
+		this.answeredNanos = OptionalLong.of(nowNanos);
 		this.responseTimes.clearExpected();
 	}
 
+	/**
+	 * Returns when the instance last sent data of any response.
+	 * @return the time on the monotonic clock, empty if it has not
+	 */
+	OptionalLong answeredNanos() {
+		return this.answeredNanos;
+	}
+
 	ResponseTimes responseTimes() {
 		return this.responseTimes;
 	}
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/MeshCodec.java
@@ -1,6 +1,7 @@
 package org.rattanhead.peer.internal;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 
@@ -48,6 +49,7 @@
 		heartbeat.load().forEach((entry) -> builder.addLoad(encode(entry)));
 		heartbeat.crashes().forEach((report) -> builder.addCrashes(CrashReportCodec.encode(report)));
 		builder.addAllLimits(LimitReportCodec.encode(heartbeat.limits()));
+		heartbeat.contactAgeMillis().ifPresent(builder::setContactAgeMillis);
 		heartbeat.servingMembers().forEach((member) -> builder.addNamed(encode(member)));
 		return MeshDatagram.newBuilder().setHost(host).setBeat(builder).build();
 	}
@@ -157,7 +159,8 @@
 				message.getLoadList().stream().map(MeshCodec::decode).toList(),
 				CrashReportCodec.decode(message.getCrashesList()),
 				message.getNamedList().stream().map(MeshCodec::decode).toList(),
-				LimitReportCodec.decode(message.getLimitsList()));
+				LimitReportCodec.decode(message.getLimitsList()),
+				message.hasContactAgeMillis() ? OptionalLong.of(message.getContactAgeMillis()) : OptionalLong.empty());
 	}
 
 	private static MeshMember encode(Member member) {
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -99,7 +99,7 @@
 		InetSocketAddress address = freeAddress();
 		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
 		MemberHeartbeat heartbeat = new MemberHeartbeat(member, true, true, 7, load(entries), crashes(entries),
-				List.of(member), limits(entries));
+				List.of(member), limits(entries), (entries > 0) ? OptionalLong.of(entries) : OptionalLong.empty());
 		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
 			network.sendHeartbeat(List.of(member), heartbeat);
 			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(heartbeat);
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/CallCodec.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/CallCodec.java
@@ -5,6 +5,7 @@
 import org.rattanhead.core.forward.AnswerHead;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.ServerNotice;
+import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.decision.forward.Ticket;
 
 /**
@@ -35,6 +36,14 @@
 	 */
 	ServerNotice notice(HttpHead head);
 
+	/**
+	 * Encodes a question that any instance answers at once, without a slot.
+	 * @param instance the instance
+	 * @param timeoutMillis the time-out, in milliseconds
+	 * @return the HTTP call
+	 */
+	HttpCall probe(UpstreamInstance instance, long timeoutMillis);
+
 	/**
 	 * Encodes an order that reserves memory.
 	 * @param ticket the reservation
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardCallDuty.java
@@ -25,6 +25,8 @@
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.forward.GrantBytes;
 import org.rattanhead.decision.forward.InstanceNoticed;
+import org.rattanhead.decision.forward.InstanceProbed;
+import org.rattanhead.decision.forward.ProbeInstance;
 import org.rattanhead.decision.forward.ReleaseTicket;
 import org.rattanhead.decision.forward.ReserveTicket;
 import org.rattanhead.decision.forward.TicketOutcome;
@@ -81,6 +83,7 @@
 		HandlerTable<ForwardTask, Boolean> handlers = new HandlerTable<ForwardTask, Boolean>()
 			.on(StartForward.class, (task, now) -> start(task.command(), task.call()))
 			.on(UpdateReservation.class, (task, now) -> sendReservation(task))
+			.on(StartProbe.class, (task, now) -> startProbe(task.command()))
 			.covering(ForwardTask.class);
 		this.duty = new Duty<>("instance-calls", ringSlots, System::nanoTime, handlers::handle);
 	}
@@ -142,6 +145,16 @@
 				Urgency.CONTROL);
 	}
 
+	/**
+	 * Probes an instance. A probe for which the ring has no room counts as failed.
+	 * @param command the probe
+	 */
+	public void probe(ProbeInstance command) {
+		if (!this.duty.offer(new StartProbe(command), Urgency.CONTROL)) {
+			this.decisions.offer(new InstanceProbed(command.instance().id(), false), Urgency.COMPLETION);
+		}
+	}
+
 	/**
 	 * Returns the duty, for its metrics.
 	 * @return the duty
@@ -163,6 +176,13 @@
 		return encoded.isPresent();
 	}
 
+	private boolean startProbe(ProbeInstance command) {
+		ConnectPolicy policy = new ConnectPolicy(true, command.timeoutMillis());
+		this.caller.start(this.codec.probe(command.instance(), command.timeoutMillis()),
+				new ProbeObserver(command.instance().id(), this.decisions), policy);
+		return true;
+	}
+
 	private Optional<HttpCall> encode(ForwardCall call, ForwardObserver observer) {
 		try {
 			return Optional.of(this.codec.encode(call));
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardTask.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardTask.java
@@ -3,6 +3,6 @@
 /**
  * A task of the {@link ForwardCallDuty}.
  */
-sealed interface ForwardTask permits StartForward, UpdateReservation {
+sealed interface ForwardTask permits StartForward, UpdateReservation, StartProbe {
 
 }
--- a/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/BlockingCodec.java
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/BlockingCodec.java
@@ -11,6 +11,7 @@
 import org.rattanhead.core.forward.AnswerVerdict;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.ServerNotice;
+import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.decision.forward.Ticket;
 
 /**
@@ -55,6 +56,11 @@
 		return ServerNotice.NONE;
 	}
 
+	@Override
+	public HttpCall probe(UpstreamInstance instance, long timeoutMillis) {
+		return HttpCall.get(this.server, "/probe", timeoutMillis);
+	}
+
 	@Override
 	public HttpCall reserve(Ticket ticket, long holdMillis) {
 		return HttpCall.get(this.server, "/reserve", 1_000);
--- a/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/FaultyCodec.java
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/FaultyCodec.java
@@ -10,6 +10,7 @@
 import org.rattanhead.core.forward.AnswerVerdict;
 import org.rattanhead.core.forward.ForwardCall;
 import org.rattanhead.core.forward.ServerNotice;
+import org.rattanhead.core.forward.UpstreamInstance;
 import org.rattanhead.decision.forward.Ticket;
 
 /**
@@ -39,6 +40,11 @@
 		return ServerNotice.NONE;
 	}
 
+	@Override
+	public HttpCall probe(UpstreamInstance instance, long timeoutMillis) {
+		return HttpCall.get(this.server, "/probe", timeoutMillis);
+	}
+
 	@Override
 	public HttpCall reserve(Ticket ticket, long holdMillis) {
 		failIn("reserve");
