Refuse as not run what was never sent

Cause: an attempt counts as possibly run from the call on. The connect timeout of 400 ms was longer than the response timeout of plain services (350 ms), and could end after the deadline, so that the outcome "not sent" came too late.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -22,9 +22,6 @@
  */
 final class Dispatcher {
 
-	/** Connect timeout; the round trip between hosts takes milliseconds. */
-	private static final long CONNECT_MILLIS = 400;
-
 	/**
 	 * Time to the response of a plain service before an idempotent request is retried.
 	 */
@@ -150,7 +147,7 @@
 		if (!forwarding.deferred()) {
 			plan.primary().responseTimes().sent(plan.firstTokenMillis(), nowNanos);
 		}
-		commands.add(new CallInstance(call, CONNECT_MILLIS));
+		commands.add(new CallInstance(call, ConnectTimeout.millis(call.remainingMillis())));
 	}
 
 	/**
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -157,13 +157,22 @@
 	}
 
 	RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts) {
+		return submit(path, promptTokens, key, fingerprint, sharedParts, 8_000);
+	}
+
+	RequestId submitWithin(String path, long deadlineMillis) {
+		return submit(path, 0, KEY, 7, List.of(), deadlineMillis);
+	}
+
+	private RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts,
+			long deadlineMillis) {
 		this.requests++;
 		RequestId id = new RequestId("self-" + this.requests);
-		handle(new ForwardSubmitted(
-				new ForwardRequest(id, "a" + this.requests, "POST", "host", path + "x", path + "x", List.of(),
-						Payload.of("body"), OptionalLong.of(8_000), Optional.of(key).filter((text) -> !text.isEmpty()),
-						(promptTokens > 0) ? Optional.of(new TokenCounts(promptTokens, 2_000)) : Optional.empty(),
-						OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts)));
+		handle(new ForwardSubmitted(new ForwardRequest(id, "a" + this.requests, "POST", "host", path + "x", path + "x",
+				List.of(), Payload.of("body"), OptionalLong.of(deadlineMillis),
+				Optional.of(key).filter((text) -> !text.isEmpty()),
+				(promptTokens > 0) ? Optional.of(new TokenCounts(promptTokens, 2_000)) : Optional.empty(),
+				OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts)));
 		return id;
 	}
 
