Pass requests on while only other gateways reach the servers

Cause: a request could be sent to servers only; at a gateway without links to them it had no other way, though others had. Change: a stranded gateway sends a request as its caller did to a ready gateway that reports answers, on the internal port (HTTP, the port of the datagrams), with the same id of the attempt and the remaining deadline. The other gateway places it, counts it against limits and load and retries it; the answer, refusals included, is relayed as it is. A request whose first attempt could not be sent is passed on while lost links are suspected. It is passed on once: a stranded gateway refuses what was passed on to it. An unsafe request is not sent again once it may have been read; others go to another gateway within the budget of retries. If no gateway reports answers, requests are refused at once.

--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -217,8 +218,8 @@
 	}
 
 	private ForwardSettings forwardSettings() {
-		return new ForwardSettings(this.settings.callersAddress(), MAX_HEADER_BYTES, MAX_BODY_BYTES,
-				HEADER_TIMEOUT_MILLIS, BODY_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
+		return new ForwardSettings(this.settings.callersAddress(), Optional.of(this.settings.meshAddress()),
+				MAX_HEADER_BYTES, MAX_BODY_BYTES, HEADER_TIMEOUT_MILLIS, BODY_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
 	}
 
 	private List<ServedPage> pages() {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayEndToEndTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayEndToEndTests.java
@@ -28,6 +28,21 @@
  */
 class GatewayEndToEndTests {
 
+	/**
+	 * Guards against RECOVER: requests of a stranded gateway that this one cannot read.
+	 */
+	@ParameterizedTest(name = "{0} {1}: {2}")
+	@CsvSource({ "GET, /look/a?b=1, 200", "POST, /order/a, 200", "GET, /none/a, 404" })
+	void answersRequestsThatAnotherGatewayPassesOn(String method, String path, int status) throws Exception {
+		try (GatewayRig rig = new GatewayRig(1, (request) -> GatewayRig.signed(request, "the answer"));
+				RawCaller relay = rig.relay()) {
+			String answer = relay.send(RawCaller.request(method, path, "a1", "")).answer();
+			assertThat(answer).startsWith("HTTP/1.1 " + status);
+			assertThat(rig.receivedRequests()).hasSize((status == 200) ? 1 : 0)
+				.allMatch((request) -> request.header("X-Tenant").equals("atelier"));
+		}
+	}
+
 	@ParameterizedTest(name = "{0} {1}")
 	@CsvSource({ "GET, /look/a?b=1, ''", "POST, /order/a%20b, body", "POST, /look/a, body" })
 	void forwardsRequestAndAnswerUnchanged(String method, String path, String body) throws Exception {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/GatewayRig.java
@@ -66,6 +66,15 @@
 		return start(this.otherSettings);
 	}
 
+	/**
+	 * Connects as another gateway does that passes requests on.
+	 * @return the connection
+	 * @throws IOException if it is refused
+	 */
+	RawCaller relay() throws IOException {
+		return new RawCaller(this.settings.meshAddress());
+	}
+
 	RawCaller anotherCaller() throws IOException {
 		return new RawCaller(this.otherSettings.callersAddress());
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/AttemptRules.java
@@ -54,7 +54,7 @@
 			attemptFailed(forwarding, AttemptFault.BROKEN, "the response belongs to another attempt", nowNanos,
 					commands);
 		}
-		else if (head.status() >= FIRST_SERVER_ERROR && forwarding.route().repeatable()
+		else if (head.status() >= FIRST_SERVER_ERROR && forwarding.route().repeatable() && !forwarding.plan().relayed()
 				&& this.retries.allowed(forwarding, true, nowNanos)
 				&& this.dispatcher.hasAlternative(forwarding, nowNanos)) {
 			commands.add(new AbortAttempt(forwarding.attempt()));
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashEvidence.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashEvidence.java
@@ -5,7 +5,8 @@
 import org.rattanhead.core.forward.ForwardRequest;
 
 /**
- * Records with which requests instances crash, and which ones they answer.
+ * Records with which requests instances crash, and which ones they answer. What happens
+ * to a request that was passed on is recorded by the daemon that received it.
  */
 final class CrashEvidence {
 
@@ -24,6 +25,9 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	void attemptBroke(Forwarding forwarding, long nowNanos) {
+		if (forwarding.plan().relayed()) {
+			return;
+		}
 		ForwardRequest request = forwarding.request();
 		List<Long> keys = forwarding.answerGoesOn() ? List.of(request.fingerprint()) : request.crashKeys();
 		this.state.suspects().crashed(keys, forwarding.plan().primary().incarnationKey(), nowNanos);
@@ -36,7 +40,7 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	void answerContinued(Forwarding forwarding, long nowNanos) {
-		if (forwarding.findAnswerGoingOn(nowNanos)) {
+		if (!forwarding.plan().relayed() && forwarding.findAnswerGoingOn(nowNanos)) {
 			this.state.suspects()
 				.answered(forwarding.request().sharedParts(), forwarding.answerBeganNanos().orElse(nowNanos), nowNanos);
 		}
@@ -49,8 +53,8 @@
 	 * @param nowNanos the time on the monotonic clock
 	 */
 	void answerFinished(Forwarding forwarding, long nowNanos) {
-		boolean certain = !forwarding.answerHead().streamed() || forwarding.answerHead().delimited()
-				|| forwarding.answerGoesOn();
+		boolean certain = !forwarding.plan().relayed() && (!forwarding.answerHead().streamed()
+				|| forwarding.answerHead().delimited() || forwarding.answerGoesOn());
 		if (forwarding.answerHead().status() < FIRST_ERROR_STATUS && certain) {
 			this.state.suspects()
 				.answered(forwarding.request().crashKeys(), forwarding.answerBeganNanos().orElse(nowNanos), nowNanos);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/DispatchResult.java
@@ -16,6 +16,9 @@
 	/** No instance accepts the request. */
 	NO_INSTANCE("No instance of the service accepts new work."),
 
+	/** No instance and no daemon that reaches one can be called. */
+	OUT_OF_REACH("This daemon has lost its links to the instances; connect to another one."),
+
 	/** The daemon stops before the answer would be complete. */
 	SHUTTING_DOWN("The daemon shuts down before the answer would be complete."),
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/Dispatcher.java
@@ -44,6 +44,8 @@
 
 	private final ForwardState state;
 
+	private final RelayRules relays;
+
 	private final TurnRules turns;
 
 	private final CapacityRules capacity;
@@ -52,6 +54,7 @@
 
 	Dispatcher(ForwardState state, FairSharing sharing) {
 		this.state = state;
+		this.relays = new RelayRules(state);
 		this.turns = new TurnRules(state);
 		this.capacity = new CapacityRules(state, sharing, this.turns);
 		this.sharing = sharing;
@@ -66,13 +69,19 @@
 	}
 
 	/**
-	 * Places a request, then sends it or reserves memory for it.
+	 * Places a request, then sends it or reserves memory for it. While this daemon does
+	 * not reach the instances, passes it on instead.
 	 * @param forwarding the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @param commands receives the resulting commands
 	 * @return the result
 	 */
 	DispatchResult dispatch(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
+		return this.relays.passOn(forwarding, nowNanos, commands)
+			.orElseGet(() -> place(forwarding, nowNanos, commands));
+	}
+
+	private DispatchResult place(Forwarding forwarding, long nowNanos, List<ForwardCommand> commands) {
 		Optional<PlacementPlan> found = plan(forwarding, nowNanos);
 		if (found.isEmpty()) {
 			return this.turns.holdOrRefuse(forwarding, nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -30,11 +30,12 @@
 	/**
 	 * Admits a request.
 	 * @param request the request
+	 * @param relayed whether another daemon passed it on
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the request in progress
 	 * @throws ProblemException if it is refused
 	 */
-	Forwarding admit(ForwardRequest request, long nowNanos) {
+	Forwarding admit(ForwardRequest request, boolean relayed, long nowNanos) {
 		RouteTable routes = this.state.routes()
 			.orElseThrow(() -> refusal(ProblemKind.CATALOGUE_UNAVAILABLE, "No configuration has been loaded yet."));
 		if (this.state.refusesNew()) {
@@ -55,9 +56,8 @@
 			throw new ProblemException(CrashRules.problem(blocked.get()));
 		}
 		ServiceLimits service = service(configuration, route);
-		return new Forwarding(request,
-				new RequestPolicy(route, service, workspace, routes.ranks().find(service.name(), route, grant)),
-				nowNanos);
+		return new Forwarding(request, new RequestPolicy(route, service, workspace,
+				routes.ranks().find(service.name(), route, grant), relayed), nowNanos);
 	}
 
 	private static String workspace(Configuration configuration, Route route, Optional<WorkspaceGrant> grant) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -104,7 +104,7 @@
 	}
 
 	private void registerRequests() {
-		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), now))
+		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), event.relayed(), now))
 			.on(ForwardCallerDisconnected.class,
 					(event, now) -> apply(this.state.find(event.request()), now,
 							(forwarding, commands) -> this.attempts.callerDisconnected(forwarding, now, commands)))
@@ -142,12 +142,14 @@
 			.on(GraceEnded.class, (event, now) -> graceEnded(now));
 	}
 
-	private List<ForwardCommand> submit(ForwardRequest request, long nowNanos) {
+	private List<ForwardCommand> submit(ForwardRequest request, boolean relayed, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		try {
-			Forwarding forwarding = this.admission.admit(request, nowNanos);
+			Forwarding forwarding = this.admission.admit(request, relayed, nowNanos);
 			this.state.add(forwarding);
-			this.state.budget().request(forwarding.service().name(), nowNanos);
+			if (!relayed) {
+				this.state.budget().request(forwarding.service().name(), nowNanos);
+			}
 			dispatchConfined(forwarding, nowNanos, commands);
 		}
 		catch (ProblemException ex) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardSubmitted.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardSubmitted.java
@@ -6,6 +6,17 @@
  * A complete request of a caller was received.
  *
  * @param request the request
+ * @param relayed whether another daemon passed it on, which must not get it back
  */
-public record ForwardSubmitted(ForwardRequest request) implements ForwardEvent {
+public record ForwardSubmitted(ForwardRequest request, boolean relayed) implements ForwardEvent {
+
+	/**
+	 * Creates an event for a request that came from its caller.
+	 * @param request the request
+	 * @param relayed whether another daemon passed it on, which must not get it back
+	 */
+	public ForwardSubmitted(ForwardRequest request) {
+		this(request, false);
+	}
+
 }
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/LimitRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/LimitRules.java
@@ -54,7 +54,8 @@
 	 */
 	void answered(Forwarding forwarding, AnswerHead head, long nowNanos, List<ForwardCommand> commands) {
 		UpstreamInstance instance = forwarding.plan().primary().instance();
-		boolean own = head.verdict() == AnswerVerdict.RUN || head.verdict() == AnswerVerdict.NOT_RUN;
+		boolean own = !forwarding.plan().relayed()
+				&& (head.verdict() == AnswerVerdict.RUN || head.verdict() == AnswerVerdict.NOT_RUN);
 		if (own && this.turns.answered(instance, head.limitPerSecond(), forwarding.sentNanos(), nowNanos)) {
 			commands.addAll(changed(instance, nowNanos));
 		}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PlacementPlan.java
@@ -15,18 +15,28 @@
  * @param interferenceCost the worth that other requests lose
  * @param viewAgeMillis the age of the view that it was selected on, in milliseconds
  * @param candidates the number of instances considered; 0 if load is not placed evenly
+ * @param relayed whether the primary instance stands for another daemon
  */
 record PlacementPlan(InstanceLoad primary, List<PlannedHelper> helpers, double firstTokenMillis, long partMillis,
-		long primaryMemoryTokens, double interferenceCost, long viewAgeMillis, int candidates) {
+		long primaryMemoryTokens, double interferenceCost, long viewAgeMillis, int candidates, boolean relayed) {
 
 	PlacementPlan(InstanceLoad primary, List<PlannedHelper> helpers, double firstTokenMillis, long partMillis,
 			long primaryMemoryTokens, double interferenceCost) {
-		this(primary, helpers, firstTokenMillis, partMillis, primaryMemoryTokens, interferenceCost, 0, 0);
+		this(primary, helpers, firstTokenMillis, partMillis, primaryMemoryTokens, interferenceCost, 0, 0, false);
+	}
+
+	/**
+	 * Creates the plan of a request that is passed on.
+	 * @param daemon stands for the daemon that receives it
+	 * @return the plan
+	 */
+	static PlacementPlan relay(InstanceLoad daemon) {
+		return new PlacementPlan(daemon, List.of(), 0, 0, 0, 0, 0, 0, true);
 	}
 
 	PlacementPlan selectedFrom(long newViewAgeMillis, int newCandidates) {
 		return new PlacementPlan(this.primary, this.helpers, this.firstTokenMillis, this.partMillis,
-				this.primaryMemoryTokens, this.interferenceCost, newViewAgeMillis, newCandidates);
+				this.primaryMemoryTokens, this.interferenceCost, newViewAgeMillis, newCandidates, this.relayed);
 	}
 
 	List<Ticket> tickets(AttemptId attempt) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
@@ -1,7 +1,10 @@
 package org.rattanhead.decision.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 
 import org.rattanhead.core.Millis;
@@ -20,10 +23,15 @@
 	/** The delay beyond twice the predicted time after which an attempt is overdue. */
 	private static final long OVERDUE_MILLIS = 500;
 
+	/** Distinguishes daemons from instances in logs. */
+	private static final String DAEMON_PREFIX = "daemon/";
+
 	private final ForwardState state;
 
 	private final ReachDecider decider;
 
+	private final Map<String, InstanceLoad> daemons = new HashMap<>();
+
 	private OptionalLong probeAnsweredNanos = OptionalLong.empty();
 
 	private boolean published;
@@ -41,8 +49,13 @@
 		return this.decider.state() == ReachState.SUSPECTED;
 	}
 
-	List<String> reachingPeers(long nowNanos) {
-		return this.decider.reachingPeers(nowNanos);
+	/**
+	 * Returns the other daemons that instances answer.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return one for each daemon, in the form of an instance that requests are sent to
+	 */
+	List<InstanceLoad> reachingDaemons(long nowNanos) {
+		return this.decider.reachingPeers(nowNanos).stream().map(this.daemons::get).filter(Objects::nonNull).toList();
 	}
 
 	/**
@@ -57,6 +70,9 @@
 	}
 
 	void failed(Forwarding forwarding, AttemptFault fault, long nowNanos) {
+		if (forwarding.plan().relayed()) {
+			return;
+		}
 		this.decider.failed(forwarding.plan().primary().instance(), fault == AttemptFault.NOT_SENT, answeredNanos(),
 				nowNanos);
 	}
@@ -70,6 +86,13 @@
 	}
 
 	List<ForwardCommand> peerReported(PeerContactReported event, long nowNanos) {
+		InstanceLoad known = this.daemons.get(event.host());
+		if (known == null || !known.instance().address().equals(event.address())) {
+			this.daemons.put(event.host(),
+					new InstanceLoad(
+							new UpstreamInstance(DAEMON_PREFIX + event.host(), "", event.address(), "", 1, false, 0, 0),
+							nowNanos));
+		}
 		event.contactAgeMillis()
 			.ifPresent((ageMillis) -> this.decider.peerReported(
 					new PeerContact(event.host(), event.ready(), nowNanos - Millis.toNanos(ageMillis)), nowNanos));
@@ -77,6 +100,7 @@
 	}
 
 	void peerLost(String host) {
+		this.daemons.remove(host);
 		this.decider.peerLost(host);
 	}
 
@@ -93,7 +117,7 @@
 	}
 
 	private boolean silent(Forwarding forwarding, long nowNanos) {
-		if (forwarding.stage() != ForwardStage.SENT) {
+		if (forwarding.stage() != ForwardStage.SENT || forwarding.plan().relayed()) {
 			return false;
 		}
 		double allowedMillis = OVERDUE_MILLIS + 2 * forwarding.plan().firstTokenMillis();
@@ -119,7 +143,7 @@
 		this.published = stranded();
 		List<DecisionInput> inputs = new ArrayList<>();
 		contactAgeMillis(nowNanos).ifPresent((ageMillis) -> inputs.add(DecisionInput.of("contact_age_ms", ageMillis)));
-		inputs.add(DecisionInput.of("reaching_peers", reachingPeers(nowNanos).size()));
+		inputs.add(DecisionInput.of("reaching_peers", this.decider.reachingPeers(nowNanos).size()));
 		return List.of(new LogDecision("reach", "", "", "", this.published ? "lost" : "regained", inputs),
 				new PublishReach(this.published));
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
@@ -12,8 +12,9 @@
  * @param service the service that runs it
  * @param workspace the workspace that sent it, empty if unknown
  * @param rank its rank in the service
+ * @param relayed whether another daemon passed it on
  */
-record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank) {
+record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank, boolean relayed) {
 
 	/**
 	 * Returns a hash of the workspace for the load entries.
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -157,22 +157,26 @@
 	}
 
 	RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts) {
-		return submit(path, promptTokens, key, fingerprint, sharedParts, 8_000);
+		return submit(path, promptTokens, key, fingerprint, sharedParts, 8_000, false);
 	}
 
 	RequestId submitWithin(String path, long deadlineMillis) {
-		return submit(path, 0, KEY, 7, List.of(), deadlineMillis);
+		return submit(path, 0, KEY, 7, List.of(), deadlineMillis, false);
+	}
+
+	RequestId submitRelayed(String path) {
+		return submit(path, 0, KEY, 7, List.of(), 8_000, true);
 	}
 
 	private RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts,
-			long deadlineMillis) {
+			long deadlineMillis, boolean relayed) {
 		this.requests++;
 		RequestId id = new RequestId("self-" + this.requests);
 		handle(new ForwardSubmitted(new ForwardRequest(id, "a" + this.requests, "POST", "host", path + "x", path + "x",
 				List.of(), Payload.of("body"), OptionalLong.of(deadlineMillis),
 				Optional.of(key).filter((text) -> !text.isEmpty()),
 				(promptTokens > 0) ? Optional.of(new TokenCounts(promptTokens, 2_000)) : Optional.empty(),
-				OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts)));
+				OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts), relayed));
 		return id;
 	}
 
--- a/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/forward/ForwardFrontEnd.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -66,9 +67,10 @@
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-			.setHandler(routeByPort(settings.listenAddress(), forwardHandler, pages));
+			.setHandler(routeByPort(settings, forwardHandler, pages));
 		Set<InetSocketAddress> addresses = new LinkedHashSet<>();
 		addresses.add(settings.listenAddress());
+		settings.relayAddress().ifPresent(addresses::add);
 		pages.forEach((page) -> addresses.add(page.address()));
 		addresses.forEach((address) -> builder.addHttpListener(address.getPort(), address.getHostString()));
 		this.server = builder.build();
@@ -102,18 +104,21 @@
 		this.server.stop();
 	}
 
-	private static HttpHandler routeByPort(InetSocketAddress callerAddress, HttpHandler forwardHandler,
+	private static HttpHandler routeByPort(ForwardSettings settings, HttpHandler forwardHandler,
 			List<ServedPage> pages) {
 		Map<Integer, Map<String, ServedPage>> pagesByPort = new HashMap<>();
 		pages.forEach((page) -> pagesByPort.computeIfAbsent(page.address().getPort(), (port) -> new HashMap<>())
 			.put(page.path(), page));
+		Set<Integer> requestPorts = new HashSet<>();
+		requestPorts.add(settings.listenAddress().getPort());
+		settings.relayAddress().ifPresent((address) -> requestPorts.add(address.getPort()));
 		return (exchange) -> {
 			int port = exchange.getConnection().getLocalAddress(InetSocketAddress.class).getPort();
 			ServedPage page = pagesByPort.getOrDefault(port, Map.of()).get(exchange.getRequestPath());
 			if (page != null) {
 				PageSender.send(exchange, page.content().get());
 			}
-			else if (port == callerAddress.getPort()) {
+			else if (requestPorts.contains(port)) {
 				forwardHandler.handleRequest(exchange);
 			}
 			else {
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -1,5 +1,6 @@
 package org.rattanhead.http.internal;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -97,7 +98,9 @@
 
 	private void submit(HttpServerExchange exchange, RequestId id, Payload body) {
 		this.registry.register(id, exchange);
-		decode(exchange, id, body).ifPresent(this::offer);
+		int port = exchange.getConnection().getLocalAddress(InetSocketAddress.class).getPort();
+		boolean relayed = this.settings.relayAddress().filter((address) -> address.getPort() == port).isPresent();
+		decode(exchange, id, body).ifPresent((request) -> offer(new ForwardSubmitted(request, relayed)));
 	}
 
 	private Optional<ForwardRequest> decode(HttpServerExchange exchange, RequestId id, Payload body) {
@@ -115,9 +118,9 @@
 		return Optional.empty();
 	}
 
-	private void offer(ForwardRequest request) {
-		if (!this.forwardEvents.offer(new ForwardSubmitted(request), Urgency.NEW_WORK)) {
-			this.registry.refuse(new RefuseRequest(request.id(), Problem.notRun(ProblemKind.OVERLOADED,
+	private void offer(ForwardSubmitted event) {
+		if (!this.forwardEvents.offer(event, Urgency.NEW_WORK)) {
+			this.registry.refuse(new RefuseRequest(event.request().id(), Problem.notRun(ProblemKind.OVERLOADED,
 					"The queue of forwarded requests is full.", RETRY_AFTER_MILLIS)));
 		}
 	}
--- a/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
+++ b/rattanhead-upstream/src/main/java/org/rattanhead/upstream/forward/ForwardObserver.java
@@ -43,7 +43,7 @@
 	@Override
 	public void onHead(HttpHead head) {
 		ServerNotice notice = this.codec.notice(head);
-		if (!notice.equals(ServerNotice.NONE)) {
+		if (!notice.equals(ServerNotice.NONE) && !this.call.relayed()) {
 			this.decisions.offer(new InstanceNoticed(this.call.instance().id(),
 					OptionalLong.of(this.call.instance().incarnation()), notice), Urgency.COMPLETION);
 		}
