--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardSubmitted.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardSubmitted.java
@@ -13,7 +13,6 @@
 	/**
 	 * Creates an event for a request that came from its caller.
 	 * @param request the request
-	 * @param relayed whether another daemon passed it on, which must not get it back
 	 */
 	public ForwardSubmitted(ForwardRequest request) {
 		this(request, false);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
@@ -1,7 +1,6 @@
 package org.rattanhead.decision.forward;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -10,6 +9,7 @@
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.AttemptFault;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.BoundedMap;
 import org.rattanhead.decision.reach.PeerContact;
 import org.rattanhead.decision.reach.ReachDecider;
 import org.rattanhead.decision.reach.ReachState;
@@ -30,7 +30,7 @@
 
 	private final ReachDecider decider;
 
-	private final Map<String, InstanceLoad> daemons = new HashMap<>();
+	private final Map<String, InstanceLoad> daemons = new BoundedMap<>(ReachDecider.MAX_PEERS);
 
 	private OptionalLong probeAnsweredNanos = OptionalLong.empty();
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
@@ -10,6 +10,7 @@
 
 import org.rattanhead.core.Millis;
 import org.rattanhead.core.forward.UpstreamInstance;
+import org.rattanhead.decision.BoundedMap;
 
 /**
  * Decides whether this daemon is stranded: whether probes of several instances on new
@@ -18,6 +19,9 @@
  */
 public final class ReachDecider {
 
+	/** Far more than there are; names of hosts arrive from the network. */
+	public static final int MAX_PEERS = 4_096;
+
 	/** The time-out of a probe. */
 	public static final long PROBE_TIMEOUT_MILLIS = 350;
 
@@ -42,7 +46,7 @@
 
 	private final RandomGenerator random;
 
-	private final Map<String, PeerContact> peers = new HashMap<>();
+	private final Map<String, PeerContact> peers = new BoundedMap<>(MAX_PEERS);
 
 	private final Map<String, UnsentCall> unsent = new HashMap<>();
 
