Spare instances that want no requests when probing links

Change: such instances are probed only if there are no others, since a stranded daemon has to find out when its links are back.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
@@ -110,12 +110,21 @@
 			.filter((forwarding) -> silent(forwarding, nowNanos))
 			.findAny()
 			.ifPresent((forwarding) -> failed(forwarding, AttemptFault.TIMED_OUT, nowNanos));
-		List<UpstreamInstance> registered = this.state.fleet().all().stream().map(InstanceLoad::instance).toList();
-		this.decider.dueProbes(registered, nowNanos)
+		this.decider.dueProbes(probeTargets(nowNanos), nowNanos)
 			.forEach((instance) -> commands.add(new ProbeInstance(instance, ReachDecider.PROBE_TIMEOUT_MILLIS)));
 		commands.addAll(publishChange(nowNanos));
 	}
 
+	private List<UpstreamInstance> probeTargets(long nowNanos) {
+		UpstreamFleet fleet = this.state.fleet();
+		List<InstanceLoad> open = fleet.all()
+			.stream()
+			.filter((load) -> fleet.acceptsWork(load, nowNanos) && !fleet.turns().limited(load.instance(), nowNanos))
+			.toList();
+		// Any answer counts, so the others are probed if nothing else is left.
+		return (open.isEmpty() ? fleet.all() : open).stream().map(InstanceLoad::instance).toList();
+	}
+
 	private boolean silent(Forwarding forwarding, long nowNanos) {
 		if (forwarding.stage() != ForwardStage.SENT || forwarding.plan().relayed()) {
 			return false;
