End rounds of probes whose outcomes are lost

Found by reading. Cause: a round of probes ended only with the outcome of each. Change: a round without all outcomes is abandoned after twice the time-out of a probe. It proves nothing, so the next round starts at once.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
@@ -33,6 +33,9 @@
 
 	private static final long ROUND_PAUSE_NANOS = Millis.toNanos(500);
 
+	/** Outcomes that are later than this were lost in the daemon. */
+	private static final long ROUND_LIMIT_NANOS = Millis.toNanos(2 * PROBE_TIMEOUT_MILLIS);
+
 	/** The pause after a probe was answered, since failures have another reason then. */
 	private static final long CALM_NANOS = Millis.toNanos(2_000);
 
@@ -129,6 +132,9 @@
 	 */
 	public List<UpstreamInstance> dueProbes(List<UpstreamInstance> registered, long nowNanos) {
 		compareWithPeers(nowNanos);
+		if (this.round != null && nowNanos - this.round.startNanos() >= ROUND_LIMIT_NANOS) {
+			this.round = null;
+		}
 		if (this.state == ReachState.REACHING || this.round != null || nowNanos < this.nextRoundNanos) {
 			return List.of();
 		}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/LinkTrouble.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/LinkTrouble.java
@@ -33,7 +33,10 @@
 	PEERS_NOT_READY((instance) -> true, true, false, false, true, true, false),
 
 	/** This daemon reaches neither instances nor other daemons. */
-	CUT_FROM_ALL((instance) -> true, true, false, false, false, true, true);
+	CUT_FROM_ALL((instance) -> true, true, false, false, false, true, true),
+
+	/** This daemon reaches no instance, and does not learn how its probes end. */
+	OUTCOMES_LOST((instance) -> true);
 
 	final Predicate<UpstreamInstance> cut;
 
@@ -64,4 +67,8 @@
 		this.peersReady = peersReady;
 	}
 
+	boolean losesOutcomes() {
+		return this == OUTCOMES_LOST;
+	}
+
 }
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/ReachDeciderTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/ReachDeciderTests.java
@@ -65,7 +65,7 @@
 	/** Guards against many probes, each of which is a new connection. */
 	@ParameterizedTest(name = "{0}: at most {1} probes in 12 s")
 	@CsvSource({ "NONE, 0", "IDLE, 0", "ONE_DOMAIN_CUT, 24", "ONE_SERVICE_CUT, 24", "ONE_INSTANCE_SILENT, 24",
-			"CUT, 60", "INSTANCES_GONE, 100" })
+			"CUT, 60", "INSTANCES_GONE, 100", "OUTCOMES_LOST, 100" })
 	void limitsProbes(LinkTrouble trouble, int probes) {
 		for (int seed = 1; seed <= SEEDS; seed++) {
 			SimulatedLinks links = started(seed);
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/SimulatedLinks.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/SimulatedLinks.java
@@ -107,6 +107,9 @@
 
 	private void probe(UpstreamInstance instance, LinkTrouble trouble) {
 		this.probes++;
+		if (trouble.losesOutcomes()) {
+			return;
+		}
 		boolean answered = !trouble.cut.test(instance);
 		later(answered ? ANSWER_MILLIS : ReachDecider.PROBE_TIMEOUT_MILLIS, () -> {
 			if (answered) {
