--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Announcement.java
@@ -64,9 +64,7 @@
 		}
 		this.started = true;
 		// Callers still use the address of a daemon that starts again, and it refuses
-		// them
-		// until it has read. If all daemons start again, none of them has records to
-		// send.
+		// them until it has read. If all daemons start again, none has records to send.
 		boolean others = members.stream().anyMatch((member) -> !member.host().equals(this.self.host()));
 		this.onPeersKnown.accept(others && !announced);
 	}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/RecordWriter.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/RecordWriter.java
@@ -33,6 +33,12 @@
 	 */
 	private static final long MAX_RETRY_MILLIS = 2_000;
 
+	/**
+	 * The number of written records that are remembered, in case that the store loses
+	 * them.
+	 */
+	private static final int MAX_WRITTEN = 1_024;
+
 	private static final Payload DELETED = Payload.of("");
 
 	private static final double SPREAD_SHARE = 0.3;
@@ -43,12 +49,6 @@
 
 	private final RandomGenerator random = new Random();
 
-	/**
-	 * The number of written records that are remembered, in case that the store loses
-	 * them.
-	 */
-	private static final int MAX_WRITTEN = 1_024;
-
 	private final Map<String, Payload> wanted = new ConcurrentHashMap<>();
 
 	private final Map<String, Payload> written = Collections.synchronizedMap(new BoundedMap<>(MAX_WRITTEN));
