Look for instances to probe only when probes are due

Each tick listed and filtered all instances, though probes are due at most every half second and mostly never. No behaviour changes; the processor time was not measured apart.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ReachRules.java
@@ -110,7 +110,7 @@
 			.filter((forwarding) -> silent(forwarding, nowNanos))
 			.findAny()
 			.ifPresent((forwarding) -> failed(forwarding, AttemptFault.TIMED_OUT, nowNanos));
-		this.decider.dueProbes(probeTargets(nowNanos), nowNanos)
+		this.decider.dueProbes(() -> probeTargets(nowNanos), nowNanos)
 			.forEach((instance) -> commands.add(new ProbeInstance(instance, ReachDecider.PROBE_TIMEOUT_MILLIS)));
 		commands.addAll(publishChange(nowNanos));
 	}
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/reach/ReachDecider.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -126,11 +127,11 @@
 
 	/**
 	 * Returns the probes that are due.
-	 * @param registered the registered instances
+	 * @param targets returns the instances that may be probed; called if probes are due
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the instances to probe; the outcome of each is awaited
 	 */
-	public List<UpstreamInstance> dueProbes(List<UpstreamInstance> registered, long nowNanos) {
+	public List<UpstreamInstance> dueProbes(Supplier<List<UpstreamInstance>> targets, long nowNanos) {
 		compareWithPeers(nowNanos);
 		if (this.round != null && nowNanos - this.round.startNanos() >= ROUND_LIMIT_NANOS) {
 			this.round = null;
@@ -138,12 +139,13 @@
 		if (this.state == ReachState.REACHING || this.round != null || nowNanos < this.nextRoundNanos) {
 			return List.of();
 		}
-		if (registered.isEmpty()) {
+		List<UpstreamInstance> instances = targets.get();
+		if (instances.isEmpty()) {
 			reached(nowNanos);
 			return List.of();
 		}
 		int count = (this.state == ReachState.STRANDED) ? STRANDED_PROBES : PROBES;
-		List<UpstreamInstance> selected = ProbeSelection.select(registered, count, this.random);
+		List<UpstreamInstance> selected = ProbeSelection.select(instances, count, this.random);
 		this.round = new ProbeRound(selected, nowNanos);
 		return selected;
 	}
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/SimulatedLinks.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/SimulatedLinks.java
@@ -88,7 +88,7 @@
 							nanos(0));
 				}
 			}
-			this.decider.dueProbes(this.instances, nanos(0)).forEach((instance) -> probe(instance, trouble));
+			this.decider.dueProbes(() -> this.instances, nanos(0)).forEach((instance) -> probe(instance, trouble));
 			this.strandedSteps += (this.decider.state() == ReachState.STRANDED) ? 1 : 0;
 		}
 	}
