Name requests that other daemons passed on viaPeer

Read as a newcomer: relayed meant a request that this daemon passes on, in ForwardCall and PlacementPlan, and one that it was given, in ForwardSubmitted and RequestPolicy. The latter are viaPeer now. No behaviour changes.

--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardAdmission.java
@@ -30,12 +30,12 @@
 	/**
 	 * Admits a request.
 	 * @param request the request
-	 * @param relayed whether another daemon passed it on
+	 * @param viaPeer whether another daemon passed it on
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the request in progress
 	 * @throws ProblemException if it is refused
 	 */
-	Forwarding admit(ForwardRequest request, boolean relayed, long nowNanos) {
+	Forwarding admit(ForwardRequest request, boolean viaPeer, long nowNanos) {
 		RouteTable routes = this.state.routes()
 			.orElseThrow(() -> refusal(ProblemKind.CATALOGUE_UNAVAILABLE, "No configuration has been loaded yet."));
 		if (this.state.refusesNew()) {
@@ -57,7 +57,7 @@
 		}
 		ServiceLimits service = service(configuration, route);
 		return new Forwarding(request, new RequestPolicy(route, service, workspace,
-				routes.ranks().find(service.name(), route, grant), relayed), nowNanos);
+				routes.ranks().find(service.name(), route, grant), viaPeer), nowNanos);
 	}
 
 	private static String workspace(Configuration configuration, Route route, Optional<WorkspaceGrant> grant) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/ForwardDecider.java
@@ -104,7 +104,7 @@
 	}
 
 	private void registerRequests() {
-		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), event.relayed(), now))
+		this.events.on(ForwardSubmitted.class, (event, now) -> submit(event.request(), event.viaPeer(), now))
 			.on(ForwardCallerDisconnected.class,
 					(event, now) -> apply(this.state.find(event.request()), now,
 							(forwarding, commands) -> this.attempts.callerDisconnected(forwarding, now, commands)))
@@ -142,12 +142,12 @@
 			.on(GraceEnded.class, (event, now) -> graceEnded(now));
 	}
 
-	private List<ForwardCommand> submit(ForwardRequest request, boolean relayed, long nowNanos) {
+	private List<ForwardCommand> submit(ForwardRequest request, boolean viaPeer, long nowNanos) {
 		List<ForwardCommand> commands = new ArrayList<>();
 		try {
-			Forwarding forwarding = this.admission.admit(request, relayed, nowNanos);
+			Forwarding forwarding = this.admission.admit(request, viaPeer, nowNanos);
 			this.state.add(forwarding);
-			if (!relayed) {
+			if (!viaPeer) {
 				this.state.budget().request(forwarding.service().name(), nowNanos);
 			}
 			dispatchConfined(forwarding, nowNanos, commands);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RelayRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RelayRules.java
@@ -39,7 +39,7 @@
 		if (!stranded && !suspected(forwarding)) {
 			return Optional.empty();
 		}
-		Optional<InstanceLoad> daemon = forwarding.policy().relayed() ? Optional.empty() : choose(forwarding, nowNanos);
+		Optional<InstanceLoad> daemon = forwarding.policy().viaPeer() ? Optional.empty() : choose(forwarding, nowNanos);
 		daemon.ifPresent((chosen) -> send(forwarding, PlacementPlan.relay(chosen), nowNanos, commands));
 		if (daemon.isPresent()) {
 			return Optional.of(DispatchResult.PLACED);
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/RequestPolicy.java
@@ -12,9 +12,9 @@
  * @param service the service that runs it
  * @param workspace the workspace that sent it, empty if unknown
  * @param rank its rank in the service
- * @param relayed whether another daemon passed it on
+ * @param viaPeer whether another daemon passed it on
  */
-record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank, boolean relayed) {
+record RequestPolicy(Route route, ServiceLimits service, String workspace, RequestRank rank, boolean viaPeer) {
 
 	/**
 	 * Returns a hash of the workspace for the load entries.
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/ForwardRig.java
@@ -164,19 +164,19 @@
 		return submit(path, 0, KEY, 7, List.of(), deadlineMillis, false);
 	}
 
-	RequestId submitRelayed(String path) {
+	RequestId submitViaPeer(String path) {
 		return submit(path, 0, KEY, 7, List.of(), 8_000, true);
 	}
 
 	private RequestId submit(String path, long promptTokens, String key, long fingerprint, List<Long> sharedParts,
-			long deadlineMillis, boolean relayed) {
+			long deadlineMillis, boolean viaPeer) {
 		this.requests++;
 		RequestId id = new RequestId("self-" + this.requests);
 		handle(new ForwardSubmitted(new ForwardRequest(id, "a" + this.requests, "POST", "host", path + "x", path + "x",
 				List.of(), Payload.of("body"), OptionalLong.of(deadlineMillis),
 				Optional.of(key).filter((text) -> !text.isEmpty()),
 				(promptTokens > 0) ? Optional.of(new TokenCounts(promptTokens, 2_000)) : Optional.empty(),
-				OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts), relayed));
+				OptionalLong.empty(), Optional.empty(), fingerprint, sharedParts), viaPeer));
 		return id;
 	}
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RelayTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RelayTests.java
@@ -69,7 +69,7 @@
 	@ValueSource(strings = { "/order/", "/look/" })
 	void refusesAtOnceWhatWasPassedOnToIt(String path) {
 		strand();
-		this.rig.submitRelayed(path);
+		this.rig.submitViaPeer(path);
 		assertThat(relayed()).isZero();
 		assertThat(this.rig.last(RefuseRequest.class).problem().execution()).isEqualTo(Execution.NOT_RUN);
 		assertThat(this.rig.last(RefuseRequest.class).problem().retryAfterMillis()).isPositive();
@@ -81,7 +81,7 @@
 	void placesRequestsOfItsOwnAndOfOthersWhileItReachesInstances(String path) {
 		peersReport();
 		this.rig.submit(path);
-		this.rig.submitRelayed(path);
+		this.rig.submitViaPeer(path);
 		assertThat(this.rig.all(CallInstance.class)).hasSize(2).noneMatch((call) -> call.call().relayed());
 	}
 
--- a/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
+++ b/rattanhead-http/src/main/java/org/rattanhead/http/internal/ForwardHandler.java
@@ -99,8 +99,8 @@
 	private void submit(HttpServerExchange exchange, RequestId id, Payload body) {
 		this.registry.register(id, exchange);
 		int port = exchange.getConnection().getLocalAddress(InetSocketAddress.class).getPort();
-		boolean relayed = this.settings.relayAddress().filter((address) -> address.getPort() == port).isPresent();
-		decode(exchange, id, body).ifPresent((request) -> offer(new ForwardSubmitted(request, relayed)));
+		boolean viaPeer = this.settings.relayAddress().filter((address) -> address.getPort() == port).isPresent();
+		decode(exchange, id, body).ifPresent((request) -> offer(new ForwardSubmitted(request, viaPeer)));
 	}
 
 	private Optional<ForwardRequest> decode(HttpServerExchange exchange, RequestId id, Payload body) {
