Use the terms of the field in comments

Comments spoke of daemons that tell or hear each other and of entries that are gone. They say report, reach, determine and Retry-After now. Comments only; the metric label caller-gone and parameters named heard stay.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyEnd.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyEnd.java
@@ -1,7 +1,7 @@
 package org.rattanhead.client.internal;
 
 /**
- * What tells the end of the body of a reply: RFC 9112, section 6.3.
+ * What determines the end of the body of a reply: RFC 9112, section 6.3.
  */
 enum BodyEnd {
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyFraming.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyFraming.java
@@ -8,8 +8,8 @@
 /**
  * How the body of a reply ends, and whether its connection may be used again.
  *
- * @param end what tells the end of the body
- * @param lengthBytes the length of the body if that tells its end, otherwise 0
+ * @param end what determines the end of the body
+ * @param lengthBytes the length of the body if that determines its end, otherwise 0
  * @param persistent whether the server keeps the connection open
  */
 record ReplyFraming(BodyEnd end, long lengthBytes, boolean persistent) {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
@@ -38,7 +38,7 @@
 
 	/**
 	 * Guards against requests that are handled by an old configuration or sent to servers
-	 * that are gone, since the change was refused and does not come again.
+	 * that were removed, since the change was refused and does not come again.
 	 */
 	@ParameterizedTest(name = "{0}")
 	@CsvSource({ "config, ConfigurationApplied", "evacuate, DomainsEvacuated", "instance, InstancesChanged" })
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/LimitServer.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/LimitServer.java
@@ -15,7 +15,7 @@
 /**
  * A server that answers everything and, from some moment on, names in its answers the
  * requests a second that it takes. It records what arrives from gateways that it has
- * told, by the gateway that the id of the attempt names.
+ * informed, by the gateway that the id of the attempt names.
  */
 final class LimitServer implements AutoCloseable {
 
@@ -57,8 +57,8 @@
 	}
 
 	/**
-	 * Returns the most arrivals in 4 s of gateways that were told, as from 3 s after the
-	 * limit was named.
+	 * Returns the most arrivals in 4 s of informed gateways, as from 3 s after the limit
+	 * was named.
 	 * @return the number
 	 */
 	synchronized int mostArrivals() {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CapacityRules.java
@@ -124,8 +124,8 @@
 	 * @param forwarding the request
 	 * @param late whether it is expected to miss its target latency
 	 * @param nowNanos the time on the monotonic clock
-	 * @return true for late requests, but not for those of callers that returned as told;
-	 * and for those of callers that returned too early in a shortage
+	 * @return true for late requests, but not for those of callers that returned as
+	 * asked; and for those of callers that returned too early in a shortage
 	 */
 	boolean deferred(Forwarding forwarding, boolean late, long nowNanos) {
 		return switch (arrival(forwarding, nowNanos)) {
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashRules.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/CrashRules.java
@@ -7,7 +7,7 @@
 import org.rattanhead.decision.crash.SuspectChange;
 
 /**
- * Refuses the requests with which instances crash, and tells the other daemons of them.
+ * Refuses the requests with which instances crash, and reports them to the other daemons.
  */
 final class CrashRules {
 
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerCountChanged.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/forward/PeerCountChanged.java
@@ -19,7 +19,8 @@
 	}
 
 	/**
-	 * Creates the event for a fleet in which all daemons that share limits are heard.
+	 * Creates the event for a fleet in which all daemons that share limits are known to
+	 * be alive.
 	 * @param daemons the daemons that share limits, this one included
 	 * @param fleet all daemons
 	 */
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceLimits.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceLimits.java
@@ -90,8 +90,8 @@
 	}
 
 	/**
-	 * Returns what to tell other daemons of an instance. An ended limit is told as well,
-	 * since others may not know of its end.
+	 * Returns what to report to other daemons of an instance. An ended limit is reported
+	 * too, since others may not know of its end.
 	 * @param instance the instance
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the report, empty if the instance never named a limit
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceTurns.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/limit/InstanceTurns.java
@@ -96,7 +96,7 @@
 	}
 
 	/**
-	 * Returns what to tell other daemons of an instance.
+	 * Returns what to report to other daemons of an instance.
 	 * @param instance the instance
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the report, empty if the instance never named a limit
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/rank/RankedUrgency.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/rank/RankedUrgency.java
@@ -22,7 +22,7 @@
 
 	static int urgency(EngineRequest request) {
 		RequestRank rank = request.rank();
-		// With more ranks than fit, length and deferral are told apart less finely.
+		// With more ranks than fit, length and deferral are distinguished less finely.
 		int steps = Math.max(1, Math.min(STEPS, (UrgencyRule.LAST + 1) / rank.ranks()));
 		int step = Math.min(steps - 1, step(request));
 		boolean aged = request.waitedShare() >= AGEING_SHARE;
--- a/rattanhead-decision/src/main/java/org/rattanhead/decision/room/RetrySchedule.java
+++ b/rattanhead-decision/src/main/java/org/rattanhead/decision/room/RetrySchedule.java
@@ -3,12 +3,12 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Determines when a refused caller is told to return: when capacity is expected, with
- * random jitter so that callers refused together do not return together.
+ * Determines the Retry-After of a refused caller: when capacity is expected, with random
+ * jitter so that callers refused together do not return together.
  */
 public final class RetrySchedule {
 
-	/** The shortest delay that callers are told. */
+	/** The shortest Retry-After. */
 	private static final double MIN_MILLIS = 200;
 
 	/** Callers wait at most this share of the time that they have left. */
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CapacityOverloadTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/CapacityOverloadTests.java
@@ -49,7 +49,7 @@
 		assertThat(share(refused)).isGreaterThanOrEqualTo(0.8);
 	}
 
-	// Guards against callers that gain by returning earlier and more often than told.
+	// Guards against callers that gain by returning earlier and more often than asked.
 	@ParameterizedTest(name = "{0} times the capacity")
 	@ValueSource(doubles = { 1.2, 1.5, 2, 3 })
 	void givesImmediateRepeatersNoMoreThanOthers(double load) {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RequestProgress.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RequestProgress.java
@@ -67,7 +67,7 @@
 	}
 
 	/**
-	 * Returns what the caller may be told of the execution.
+	 * Returns what the caller may learn of the execution.
 	 * @return the execution
 	 */
 	Execution execution() {
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RetryTimingTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/RetryTimingTests.java
@@ -12,8 +12,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * The delay that refused callers are told, for loads of a plain service with 11 slots on
- * each of two servers.
+ * The Retry-After of refused callers, for loads of a plain service with 11 slots on each
+ * of two servers.
  */
 class RetryTimingTests {
 
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/StoreEntry.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/forward/StoreEntry.java
@@ -15,7 +15,7 @@
 	UNCHANGED(false, (rig) -> {
 	}),
 
-	/** All entries are gone and come back. */
+	/** All entries are deleted and written again. */
 	READY_AGAIN(false, (rig) -> {
 		rig.handle(new InstancesChanged(List.of()));
 		rig.handle(new InstancesChanged(ForwardRig.instances(1, 2)));
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/LinkTrouble.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/reach/LinkTrouble.java
@@ -20,7 +20,7 @@
 	/** New connections are refused, and those that are open live on. */
 	NEW_CONNECTIONS_REFUSED((instance) -> true, true, true, true, true, true, true),
 
-	/** No daemon reaches an instance: they are gone, or all daemons are cut off. */
+	/** No daemon reaches an instance: they are down, or all daemons are cut off. */
 	INSTANCES_GONE((instance) -> true, true, false, false, true, false, true),
 
 	ONE_DOMAIN_CUT((instance) -> instance.failureDomain().equals("domain-1")),
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/room/RetryScheduleTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/room/RetryScheduleTests.java
@@ -9,11 +9,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * When callers are told to return that are refused at the same moment.
+ * The Retry-After of callers that are refused at the same moment.
  */
 class RetryScheduleTests {
 
-	// Guards against callers that are told to return before there is capacity, or after
+	// Guards against a Retry-After that ends before there is capacity, or after
 	// the time that they wait at most.
 	@ParameterizedTest(name = "capacity in {0} ms, {1} ms left: {2} to {3} ms")
 	@CsvSource({ "0, 10000, 200, 350", "1000, 10000, 1000, 1400", "5000, 9000, 1800, 3000", "50, 1000, 200, 333",
--- a/rattanhead-decision/src/test/java/org/rattanhead/decision/room/ReturningCallersTests.java
+++ b/rattanhead-decision/src/test/java/org/rattanhead/decision/room/ReturningCallersTests.java
@@ -11,7 +11,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Callers refused at 1,000 ms and told to return at 1,500 ms.
+ * Callers refused at 1,000 ms that may return at 1,500 ms.
  */
 class ReturningCallersTests {
 
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/CrashReportCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/CrashReportCodec.java
@@ -9,7 +9,7 @@
 import org.rattanhead.messages.MeshInstanceCrash;
 
 /**
- * Encodes and decodes what daemons tell each other of suspects.
+ * Encodes and decodes what daemons report to each other of suspects.
  */
 final class CrashReportCodec {
 
--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/LimitReportCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/LimitReportCodec.java
@@ -7,7 +7,7 @@
 import org.rattanhead.messages.MeshLimit;
 
 /**
- * Encodes and decodes what daemons tell each other of the limits of instances.
+ * Encodes and decodes what daemons report to each other of the limits of instances.
  */
 final class LimitReportCodec {
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PositionSource.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/PositionSource.java
@@ -1,7 +1,7 @@
 package org.rattanhead.platform.keyed;
 
 /**
- * Who told a daemon how far a stream goes.
+ * From whom a daemon knows how far a stream goes.
  */
 public enum PositionSource {
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/SnapshotExchange.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/SnapshotExchange.java
@@ -37,7 +37,7 @@
 	 * @param stream the stream
 	 * @param progress how far the stream was read
 	 * @param records the records
-	 * @param schedule tells whether the records are current
+	 * @param schedule determines whether the records are current
 	 * @param peers sends messages to the other daemons
 	 * @param timer schedules further requests
 	 * @param requestDue called when the next request is due
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
@@ -46,7 +46,7 @@
 	 * @param page the page
 	 * @param from the position at which the page starts
 	 * @param needed the position of the next record that the daemon needs
-	 * @return the rest; the page itself if its records cannot be told apart by offset
+	 * @return the rest; the page itself if its records cannot be distinguished by offset
 	 */
 	static KeyedPage skip(KeyedPage page, StreamPosition from, StreamPosition needed) {
 		List<KeyedRecord> records = page.records();
--- a/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/LargeAnswerServer.java
+++ b/rattanhead-upstream/src/test/java/org/rattanhead/upstream/forward/LargeAnswerServer.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Answers each request with a body of a fixed size, and tells how the first one ended.
+ * Answers each request with a body of a fixed size, and reports how the first one ended.
  */
 final class LargeAnswerServer implements AutoCloseable {
 
