--- a/review/rig-3/Rig3.java
+++ b/review/rig-3/Rig3.java
@@ -547,6 +547,97 @@
 
 	}
 
+	/**
+	 * A server to which connections hang while it is out of reach: it accepts none, and its
+	 * queue of new connections is full.
+	 */
+	final class FarServer implements AutoCloseable {
+
+		private static final int BACKLOG = 64;
+
+		final String id;
+
+		final ServerSocket socket = new ServerSocket();
+
+		private final List<Socket> queued = new ArrayList<>();
+
+		private volatile boolean far;
+
+		FarServer(String id, Handler handler) throws IOException {
+			this.id = id;
+			this.socket.bind(new InetSocketAddress("127.0.0.1", freePort()), BACKLOG);
+			run(() -> accept(handler));
+		}
+
+		private void accept(Handler handler) {
+			try {
+				while (true) {
+					Socket accepted = this.socket.accept();
+					while (this.far) {
+						pause(5);
+					}
+					run(() -> serve(accepted, handler));
+				}
+			}
+			catch (IOException ex) {
+				// Closed.
+			}
+		}
+
+		private void serve(Socket accepted, Handler handler) {
+			try (accepted) {
+				accepted.setTcpNoDelay(true);
+				InputStream in = new BufferedInputStream(accepted.getInputStream());
+				for (Request request = readRequest(in); request != null; request = readRequest(in)) {
+					while (this.far) {
+						pause(5);
+					}
+					if (!handler.handle(request, accepted, in, accepted.getOutputStream())) {
+						return;
+					}
+				}
+			}
+			catch (Exception ex) {
+				// The caller has left.
+			}
+		}
+
+		void cut() throws IOException {
+			this.far = true;
+			for (int index = 0; index < BACKLOG + 3; index++) {
+				Socket filler = new Socket();
+				this.queued.add(filler);
+				try {
+					filler.connect(this.socket.getLocalSocketAddress(), 20);
+				}
+				catch (SocketTimeoutException ex) {
+					return;
+				}
+			}
+		}
+
+		void heal() throws IOException {
+			this.far = false;
+			for (Socket filler : this.queued) {
+				filler.close();
+			}
+			this.queued.clear();
+		}
+
+		void register(String service, String zone, int slots) {
+			Rig3.this.store.put(SERVERS, this.id,
+					"{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + this.socket.getLocalPort()
+							+ "\",\"Zone\":\"" + zone + "\",\"Version\":\"1\",\"Slots\":" + slots
+							+ ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":1}");
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.socket.close();
+		}
+
+	}
+
 	/** A gateway in a process of its own. */
 	final class Gateway {
 
@@ -570,8 +661,16 @@
 
 		Process process;
 
+		private final int descriptors;
+
 		Gateway(String host) throws IOException {
+			this(host, 0);
+		}
+
+		/** Starts a gateway with a number of descriptors; 0 for that of this process. */
+		Gateway(String host, int descriptors) throws IOException {
 			this.host = host;
+			this.descriptors = descriptors;
 			this.settings = Rig3.this.folder.resolve(host + ".ini");
 			this.output = Rig3.this.folder.resolve(host + ".log");
 			Files.writeString(this.settings, """
@@ -604,10 +703,14 @@
 		}
 
 		void start() throws IOException {
-			List<String> command = new ArrayList<>(List.of("java", "-Xmx194m", "-Xss256k", "-XX:+UseSerialGC",
+			List<String> command = List.of("java", "-Xmx194m", "-Xss256k", "-XX:+UseSerialGC",
 					"-XX:TieredStopAtLevel=1", "-XX:SharedArchiveFile=target/rattanheadd.jsa",
 					"-Djavax.management.builder.initial=none", "-jar", "target/rattanheadd.jar", "--settings",
-					this.settings.toString()));
+					this.settings.toString());
+			if (this.descriptors > 0) {
+				command = List.of("bash", "-c",
+						"ulimit -n " + this.descriptors + " && exec " + String.join(" ", command));
+			}
 			this.process = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.output.toFile()))
 				.start();
