Reproduce large configurations that are in force too late

Cause: a configuration above 32 kB is not sent between gateways, so each reads each version from the store. No test knew sizes or rates: SimulatedStore answered after a fixed time, whatever the answer brought.

Change: answers of SimulatedStore queue on the link of their gateway and at the store, pages end at 1 MB and newest records cost a third more (base64). Messages between gateways queue on the link of their sender and can be lost.

--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedFleet.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedFleet.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -36,6 +37,9 @@
 	/** Hosts that exchange no messages with other gateways. */
 	final Set<String> cutOffHosts = new HashSet<>();
 
+	/** The share of the messages between gateways that are lost. */
+	double lostShare;
+
 	private final Map<String, SimulatedGateway> gateways = new HashMap<>();
 
 	private final Map<Integer, String> entries = new HashMap<>();
@@ -44,9 +48,12 @@
 
 	private final long seed;
 
+	private final Random losses;
+
 	SimulatedFleet(int count, long seed) {
 		this.count = count;
 		this.seed = seed;
+		this.losses = new Random(seed);
 		this.store.append(KeyedStream.OPERATORS, "config", "version-1");
 		for (int instance = 0; instance < INSTANCES; instance++) {
 			this.entries.put(instance, "entry-" + instance);
@@ -109,9 +116,35 @@
 		this.store.append(KeyedStream.INSTANCES, "i-0", LEAVING);
 	}
 
+	/**
+	 * Writes a configuration.
+	 * @param version its version
+	 * @param routes the number of its routes
+	 */
+	void configure(int version, int routes) {
+		this.store.append(KeyedStream.OPERATORS, "config", LargeConfiguration.text(version, routes));
+	}
+
 	void send(SimulatedGateway sender, List<Member> receivers, Consumer<SimulatedGateway> delivery) {
+		send(sender, receivers, 0, delivery);
+	}
+
+	/**
+	 * Sends a message to several gateways, one after the other on the link of the sender.
+	 * @param sender the sender
+	 * @param receivers the receivers
+	 * @param bytes the size of the message
+	 * @param delivery receives each gateway that the message reaches
+	 */
+	void send(SimulatedGateway sender, List<Member> receivers, long bytes, Consumer<SimulatedGateway> delivery) {
+		long queuedBytes = 0;
 		for (Member member : receivers) {
-			this.time.after(LATENCY_MILLIS, () -> {
+			queuedBytes += bytes;
+			if (this.lostShare > 0 && this.losses.nextDouble() < this.lostShare) {
+				continue;
+			}
+			long sendMillis = (this.store.linkBytesPerMilli > 0) ? queuedBytes / this.store.linkBytesPerMilli : 0;
+			this.time.after(LATENCY_MILLIS + sendMillis, () -> {
 				SimulatedGateway receiver = this.gateways.get(member.host());
 				if (receiver != null && !this.cutOffHosts.contains(sender.self.host())
 						&& !this.cutOffHosts.contains(member.host())) {
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
@@ -1,5 +1,6 @@
 package org.rattanhead.platform.keyed;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
@@ -186,7 +187,9 @@
 	@Override
 	public void sendUpdate(StreamUpdate update) {
 		if (this.serves) {
-			this.fleet.send(this, this.table.recipients(), (gateway) -> gateway.receive(this.self.host(), update));
+			long bytes = 0;
+			this.fleet.send(this, this.table.recipients(), bytes,
+					(gateway) -> gateway.receive(this.self.host(), update));
 		}
 	}
 
@@ -287,8 +290,14 @@
 			// The last state stays.
 		}
 
+		/** Of large values only the first line is kept. */
 		private String text(KeyedRecord record) {
-			return record.value().orElseThrow().text();
+			byte[] bytes = record.value().orElseThrow().bytes();
+			int length = 0;
+			while (length < bytes.length && bytes[length] != '\n') {
+				length++;
+			}
+			return new String(bytes, 0, length, StandardCharsets.UTF_8);
 		}
 
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -30,13 +31,33 @@
 	/** The time-out of a lost call in addition to the time that it waits. */
 	private static final long TIMEOUT_MILLIS = 1_000;
 
+	private static final int MAX_PAGE_BYTES = 1024 * 1024;
+
+	private static final String NEWEST = " newest";
+
+	private static final int BASE64_OVERHEAD_DIVISOR = 3;
+
 	final Set<String> refusedHosts = new HashSet<>();
 
 	/** Hosts whose calls and answers are lost, those under way included. */
 	final Set<String> lostHosts = new HashSet<>();
 
+	/** The rate at which the answers to one host arrive, 0 for no limit. */
+	long linkBytesPerMilli;
+
+	/** The rate at which the answers to all hosts are read, 0 for no limit. */
+	long totalBytesPerMilli;
+
 	private final VirtualTime time;
 
+	/** When the answers to each host that are under way have arrived. */
+	private final Map<String, Long> linkFreeMillis = new HashMap<>();
+
+	private long totalFreeMillis;
+
+	/** The bytes of all answers. */
+	private long answeredBytes;
+
 	private final Map<KeyedStream, List<StoredRecord>> records = new EnumMap<>(KeyedStream.class);
 
 	private final Map<KeyedStream, List<Runnable>> waiting = new EnumMap<>(KeyedStream.class);
@@ -130,8 +151,7 @@
 		return new KeyedStore() {
 			@Override
 			public CompletableFuture<KeyedPage> newest(KeyedStream stream, String afterKey) {
-				return call(host, stream + " newest", 0,
-						(answer) -> answer.complete(SimulatedStore.this.newest(stream)));
+				return call(host, stream + NEWEST, 0, (answer) -> answer.complete(SimulatedStore.this.newest(stream)));
 			}
 
 			@Override
@@ -159,17 +179,18 @@
 		this.time.after(waitMillis + TIMEOUT_MILLIS,
 				() -> result.completeExceptionally(new IllegalStateException("no answer")));
 		answer.whenComplete((value, failure) -> this.pending.remove(answer));
-		answer.whenComplete((value, failure) -> this.time.after(LATENCY_MILLIS, () -> {
-			if (this.lostHosts.contains(host)) {
-				return;
-			}
-			if (failure != null) {
-				result.completeExceptionally(failure);
-			}
-			else {
-				result.complete(value);
-			}
-		}));
+		answer.whenComplete(
+				(value, failure) -> this.time.after(LATENCY_MILLIS + transferMillis(host, kind, value), () -> {
+					if (this.lostHosts.contains(host)) {
+						return;
+					}
+					if (failure != null) {
+						result.completeExceptionally(failure);
+					}
+					else {
+						result.complete(value);
+					}
+				}));
 		this.time.after(LATENCY_MILLIS, () -> {
 			if (refused || this.away) {
 				answer.completeExceptionally(new IllegalStateException("refused"));
@@ -182,6 +203,58 @@
 		return result;
 	}
 
+	private static List<KeyedRecord> firstPage(List<KeyedRecord> records) {
+		int count = 0;
+		int bytes = 0;
+		while (count < records.size() && (count == 0 || bytes + length(records.get(count)) <= MAX_PAGE_BYTES)) {
+			bytes += length(records.get(count));
+			count++;
+		}
+		return records.subList(0, count);
+	}
+
+	private static int length(KeyedRecord record) {
+		return record.key().length() + record.value().map(Payload::length).orElse(0);
+	}
+
+	/**
+	 * Queues an answer after those to the same host, and after those to all hosts.
+	 * @param host the host
+	 * @param kind the kind of the call
+	 * @param answer the answer
+	 * @return the time until it has arrived, in milliseconds
+	 */
+	private long transferMillis(String host, String kind, Object answer) {
+		long bytes = (answer instanceof KeyedPage page) ? bytes(page) : 0;
+		if (kind.endsWith(NEWEST)) {
+			bytes += bytes / BASE64_OVERHEAD_DIVISOR;
+		}
+		this.answeredBytes += bytes;
+		long nowMillis = this.time.millis();
+		if (bytes == 0 || this.linkBytesPerMilli == 0) {
+			return 0;
+		}
+		this.totalFreeMillis = Math.max(nowMillis, this.totalFreeMillis) + bytes / this.totalBytesPerMilli;
+		long linkMillis = Math.max(nowMillis, this.linkFreeMillis.getOrDefault(host, 0L))
+				+ bytes / this.linkBytesPerMilli;
+		this.linkFreeMillis.put(host, Math.max(linkMillis, this.totalFreeMillis));
+		return this.linkFreeMillis.get(host) - nowMillis;
+	}
+
+	private static long bytes(KeyedPage page) {
+		return page.records().stream().mapToLong(SimulatedStore::length).sum();
+	}
+
+	/**
+	 * Returns the bytes of all answers since the previous call of this method.
+	 * @return the number of bytes
+	 */
+	long takeAnsweredBytes() {
+		long taken = this.answeredBytes;
+		this.answeredBytes = 0;
+		return taken;
+	}
+
 	private KeyedPage newest(KeyedStream stream) {
 		Map<String, KeyedRecord> newest = new LinkedHashMap<>();
 		this.records.get(stream).forEach((stored) -> newest.put(stored.record().key(), stored.record()));
@@ -200,8 +273,9 @@
 		}
 		Runnable respond = () -> {
 			if (!answer.isDone()) {
-				List<KeyedRecord> found = all.stream().skip(fromOffset).map(StoredRecord::record).toList();
-				answer.complete(new KeyedPage(found, position(all.size()), false, false));
+				List<KeyedRecord> found = firstPage(all.stream().skip(fromOffset).map(StoredRecord::record).toList());
+				long next = fromOffset + found.size();
+				answer.complete(new KeyedPage(found, position(next), next < all.size(), false));
 			}
 		};
 		if (all.size() > fromOffset || waitMillis == 0) {
