Log what a read of a stream brought, and how much of a late reply had arrived

Change: a line for each read of the operators' and members' records with the position, the number of records, their bytes and the time it took. The detail of a call that timed out has the time and the bytes of the body that had arrived.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/BodyReader.java
@@ -168,8 +168,8 @@
 	 * @return false if the reply is too large, or the bytes are to be delivered later
 	 */
 	private boolean deliver(ByteBuffer buffer) {
-		this.exchange.bodyReceived();
 		this.bodyBytes += buffer.remaining();
+		this.exchange.bodyReceived(this.bodyBytes);
 		this.windowBytes -= buffer.remaining();
 		if (this.bodyBytes > this.observer.maxBodyBytes()) {
 			this.exchange.fail(CallFailure.BROKEN,
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -58,6 +58,10 @@
 
 	private long reuseMillis = DEFAULT_REUSE_MILLIS;
 
+	private long startNanos;
+
+	private volatile long bodyBytes;
+
 	private BodyWriter bodyWriter;
 
 	private BodyReader bodyReader;
@@ -90,6 +94,7 @@
 	 * than the timeout of the call
 	 */
 	public void armTimeouts(XnioIoThread thread, long connectMillis) {
+		this.startNanos = System.nanoTime();
 		this.timeout = thread.executeAfter(this::timeOut, Math.max(1, this.call.timeoutMillis()),
 				TimeUnit.MILLISECONDS);
 		if (connectMillis > 0) {
@@ -199,8 +204,10 @@
 
 	/**
 	 * Records that a part of the body was read.
+	 * @param bytes the number of bytes read so far
 	 */
-	void bodyReceived() {
+	void bodyReceived(long bytes) {
+		this.bodyBytes = bytes;
 		this.connection.framing().reset();
 	}
 
@@ -228,7 +235,9 @@
 	}
 
 	private void timeOut() {
-		String detail = "no complete reply within " + this.call.timeoutMillis() + " ms";
+		long nowNanos = System.nanoTime();
+		String detail = "no complete reply within " + TimeUnit.NANOSECONDS.toMillis(nowNanos - this.startNanos)
+				+ " ms, " + this.bodyBytes + " bytes of its body arrived";
 		connectFailed(detail);
 		fail(CallFailure.TIMED_OUT, detail);
 	}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRead.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRead.java
@@ -7,6 +7,7 @@
  *
  * @param number increases with each read
  * @param from the position at which it started
+ * @param startNanos when it started, on the monotonic clock
  */
-record StreamRead(long number, StreamPosition from) {
+record StreamRead(long number, StreamPosition from, long startNanos) {
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -109,7 +109,7 @@
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
 		boolean waits = this.schedule.isReader(nowNanos) && !this.failing;
-		this.reads.start(this.progress, waits ? this.plan.get().waitMillis() : 0);
+		this.reads.start(this.progress, waits ? this.plan.get().waitMillis() : 0, nowNanos);
 	}
 
 	private boolean onPage(PageArrived event, long nowNanos) {
@@ -122,6 +122,7 @@
 					nowNanos);
 		}
 		clearFailure();
+		this.reads.log(event.read(), page, nowNanos);
 		if (page.next().isLaterEra(known) && !this.progress.atFirstPage()) {
 			beginEra(page.next().era());
 			read(nowNanos);
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReads.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReads.java
@@ -1,8 +1,12 @@
 package org.rattanhead.platform.keyed;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.rattanhead.core.keyed.KeyedStream;
 
 /**
@@ -11,6 +15,8 @@
  */
 final class StreamReads {
 
+	private static final Logger LOGGER = LogManager.getLogger(StreamReads.class);
+
 	private final KeyedStore store;
 
 	private final KeyedStream stream;
@@ -31,11 +37,12 @@
 	 * Reads the next page. An earlier read is abandoned.
 	 * @param progress how far the stream was read
 	 * @param waitMillis how long the store may wait for a new record, in milliseconds
+	 * @param nowNanos the time on the monotonic clock
 	 */
-	void start(StreamProgress progress, long waitMillis) {
+	void start(StreamProgress progress, long waitMillis, long nowNanos) {
 		this.pending = true;
 		this.lastNumber++;
-		StreamRead read = new StreamRead(this.lastNumber, progress.position());
+		StreamRead read = new StreamRead(this.lastNumber, progress.position(), nowNanos);
 		CompletableFuture<KeyedPage> page = progress.readingNewest()
 				? this.store.newest(this.stream, progress.lastKey())
 				: this.store.changes(this.stream, read.from(), waitMillis);
@@ -58,6 +65,21 @@
 		return last;
 	}
 
+	/**
+	 * Logs what a read brought.
+	 * @param read the read
+	 * @param page the page
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void log(StreamRead read, KeyedPage page, long nowNanos) {
+		if (this.stream != KeyedStream.INSTANCES && !page.records().isEmpty()) {
+			long bytes = page.records().stream().mapToLong(RecordBudget::size).sum();
+			LOGGER.info("platform: a read of stream {} from {} brought {} records, {} bytes, after {} ms", this.stream,
+					read.from(), page.records().size(), bytes,
+					TimeUnit.NANOSECONDS.toMillis(nowNanos - read.startNanos()));
+		}
+	}
+
 	void abandon() {
 		this.pending = false;
 	}
