Read on after a gap that shows during a read

What callers saw: a route that was added is not served, up to 2.5 s after the last version and longer.

Cause: an update without records shows a daemon that it lacks some, and makes its next read due. If a read is pending, its end, or its failure, replaced that by the end of the yield time, 1.9 s to 2.5 s later: the daemon had just received an update and took itself for current. Class: a wake-up that arrives while work is in progress and is lost when the work ends.

Evidence: SnapshotTests.readsWhatWasAnnouncedDuringARead fails in both rows before (a read that succeeds, a read that is refused).

Change: the announced position is kept (AnnouncedPosition). A read that started later ends it, so that a wrong announcement costs one read.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
@@ -132,15 +132,18 @@
 
 	/**
 	 * Schedules the next read after a read of this daemon failed. While other daemons
-	 * send updates, this daemon does not need to read.
+	 * send updates, this daemon does not need to read, unless it lacks records before
+	 * them.
 	 * @param nowNanos the time on the monotonic clock
 	 * @param called whether the store was called; if not, trying again is free
+	 * @param behind whether records are missing that updates do not bring
 	 */
-	void readFailed(long nowNanos, boolean called) {
+	void readFailed(long nowNanos, boolean called, boolean behind) {
 		long pauseMillis = !called ? RETRY_MILLIS : Math.min(RETRY_MILLIS << Math.min(this.failures, MAX_DOUBLINGS),
 				Math.max(MAX_RETRY_MILLIS, this.plan.get().periodMillis()));
 		this.failures += called ? 1 : 0;
-		this.dueNanos = Math.max(nowNanos + spread(pauseMillis), this.yieldUntilNanos);
+		long retryNanos = nowNanos + spread(pauseMillis);
+		this.dueNanos = behind ? retryNanos : Math.max(retryNanos, this.yieldUntilNanos);
 		this.readerUntilNanos = nowNanos;
 	}
 
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -45,6 +45,8 @@
 
 	private final SnapshotExchange snapshots;
 
+	private final AnnouncedPosition announced = new AnnouncedPosition();
+
 	private boolean failing;
 
 	/** Whether the newest records are read because the store was restored. */
@@ -136,7 +138,7 @@
 			collectNewest(page, nowNanos);
 		}
 		else {
-			applyChanges(event.read().from(), page, nowNanos);
+			applyChanges(event.read(), page, nowNanos);
 		}
 		return true;
 	}
@@ -191,9 +193,16 @@
 			this.restored = false;
 			this.records.announce(this.progress.position());
 		}
+		makeDueIf(this.announced.isAfter(this.progress.position()), nowNanos);
 		scheduleRead(nowNanos);
 	}
 
+	private void makeDueIf(boolean missing, long nowNanos) {
+		if (missing) {
+			this.schedule.makeDue(nowNanos);
+		}
+	}
+
 	private void replaceAll(List<KeyedRecord> newest, long nowNanos) {
 		this.records.replace(newest);
 		this.snapshots.supplyWaiting(nowNanos);
@@ -225,12 +234,14 @@
 		this.restored = false;
 		this.progress.continueAfter(snapshot.next());
 		this.schedule.updateReceived(true, nowNanos);
+		makeDueIf(this.announced.isAfter(snapshot.next()), nowNanos);
 		replaceAll(snapshot.records(), nowNanos);
 		scheduleRead(nowNanos);
 		return true;
 	}
 
-	private void applyChanges(StreamPosition from, KeyedPage page, long nowNanos) {
+	private void applyChanges(StreamRead read, KeyedPage page, long nowNanos) {
+		StreamPosition from = read.from();
 		StreamPosition needed = this.progress.position();
 		if (page.next().reaches(needed)) {
 			KeyedPage rest = StreamUpdates.skip(page, from, needed);
@@ -239,6 +250,7 @@
 			this.records.applyRead(restFrom, rest);
 		}
 		this.schedule.readCompleted(nowNanos);
+		makeDueIf(this.announced.isMissing(read, this.progress.position()), nowNanos);
 		scheduleRead(nowNanos);
 	}
 
@@ -248,22 +260,31 @@
 			return true;
 		}
 		StreamPosition needed = this.progress.position();
-		if (this.snapshots.requestFrom(event.host()) || !update.next().reaches(needed)) {
+		if (this.progress.readingNewest()) {
+			this.announced.announce(update.next(), this.reads.lastNumber());
+			return this.snapshots.requestFrom(event.host());
+		}
+		if (!update.next().reaches(needed)) {
 			return false;
 		}
 		this.schedule.updateReceived(event.senderHasPriority(), nowNanos);
 		if (update.from().isAfter(needed)) {
-			if (this.failing) {
-				this.snapshots.requestMissing(event.host());
-			}
-			this.schedule.makeDue(nowNanos);
-			return readIfDue(nowNanos);
+			return readMissing(event, nowNanos);
 		}
 		this.progress.advance(update.next(), PositionSource.PEER);
 		this.records.applyReceived(StreamUpdates.selectNew(update, needed));
 		return true;
 	}
 
+	private boolean readMissing(UpdateReceived event, long nowNanos) {
+		this.announced.announce(event.update().next(), this.reads.lastNumber());
+		if (this.failing) {
+			this.snapshots.requestMissing(event.host());
+		}
+		this.schedule.makeDue(nowNanos);
+		return readIfDue(nowNanos);
+	}
+
 	private boolean onReadFailed(Throwable failure, long nowNanos) {
 		if (!this.failing) {
 			this.failing = true;
@@ -271,7 +292,8 @@
 					failure.getMessage());
 		}
 		this.records.readFailed();
-		this.schedule.readFailed(nowNanos, !(failure instanceof StoreUnavailableException));
+		this.schedule.readFailed(nowNanos, !(failure instanceof StoreUnavailableException),
+				this.announced.isAfter(this.progress.position()));
 		scheduleRead(nowNanos);
 		return false;
 	}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReads.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReads.java
@@ -50,6 +50,14 @@
 			.accept((failure != null) ? new ReadFailed(read, failure) : new PageArrived(read, arrived)));
 	}
 
+	/**
+	 * Returns the number of the last read that was started.
+	 * @return the number, 0 if none was
+	 */
+	long lastNumber() {
+		return this.lastNumber;
+	}
+
 	boolean isPending() {
 		return this.pending;
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
@@ -50,7 +50,7 @@
 	void boundsThePauseAfterFailures(int failures, long maxMillis) {
 		ReadSchedule schedule = new ReadSchedule(() -> PLAN, new Random(1), 0);
 		for (int failure = 0; failure < failures; failure++) {
-			schedule.readFailed(0, true);
+			schedule.readFailed(0, true, false);
 		}
 		assertThat(schedule.delayMillis(0)).isBetween(1L, maxMillis);
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SnapshotTests.java
@@ -191,6 +191,51 @@
 		assertThat(this.updates.get(0).records()).hasSize(records);
 	}
 
+	/**
+	 * Guards against CONFIG: a record that another daemon announced during a read, and
+	 * that is read only when updates have stopped for the yield time.
+	 */
+	@ParameterizedTest(name = "announced {0} ms after the start of the read, which is refused: {1}")
+	@CsvSource({ "100, false", "4, true" })
+	void readsWhatWasAnnouncedDuringARead(long announcedMillis, boolean refused) {
+		handle(new ReadDue(0));
+		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, position(0), position(0), List.of())));
+		this.store.linkBytesPerMilli = 1;
+		this.store.totalBytesPerMilli = 1;
+		this.store.append(KeyedStream.OPERATORS, "a", "v".repeat(200));
+		if (refused) {
+			this.store.refusedHosts.add("self");
+		}
+		announce(1);
+		this.time.runUntil(announcedMillis);
+		this.store.append(KeyedStream.OPERATORS, "b", "v".repeat(200));
+		announce(2);
+		this.time.runUntil(100);
+		this.store.refusedHosts.clear();
+		this.time.runUntil(900);
+		assertThat(this.applied.stream().filter((change) -> change.startsWith("changes")))
+			.containsExactlyElementsOf(refused ? List.of("changes 2") : List.of("changes 1", "changes 1"));
+	}
+
+	private void announce(long nextOffset) {
+		handle(new UpdateReceived("other", true,
+				new StreamUpdate(KeyedStream.OPERATORS, position(nextOffset), position(nextOffset), List.of())));
+	}
+
+	/** Guards against reads without end after a position that the store does not have. */
+	@ParameterizedTest(name = "announced {0} times")
+	@ValueSource(ints = { 1, 5 })
+	void readsOnceAfterAWrongAnnouncement(int announcements) {
+		handle(new ReadDue(0));
+		handle(new SnapshotReceived(new StreamUpdate(KeyedStream.OPERATORS, position(0), position(0), List.of())));
+		this.store.takeCalls();
+		for (int count = 1; count <= announcements; count++) {
+			announce(100);
+			this.time.runUntil(100L * count);
+		}
+		assertThat(this.store.takeCalls().values()).allMatch((calls) -> calls <= announcements);
+	}
+
 	private void handle(FollowEvent event) {
 		this.reader.handle(event, this.time.nanos());
 	}
