Give a page of the store more time while it keeps arriving

What callers saw: a route that was added is not served while versions follow each other.

Cause: a call to the store had 1 s for its whole answer, however many bytes it brings. A page of three versions of 330 kB takes 0.86 s alone on a link of 9.8 Mbit/s; beside traffic, or when a hundred gateways read at once, the read was given up, the guard paused all streams, and the same page, larger by then, was read again from its start. Class: a time-out of the whole where progress is what tells a slow peer from a dead one.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -42,6 +42,9 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
+	/** A reply of which no bytes arrive for this long is not given more time. */
+	private static final long STALL_MILLIS = 1_000;
+
 	private final HttpCall call;
 
 	private final ReplyObserver observer;
@@ -60,6 +63,8 @@
 
 	private long startNanos;
 
+	private volatile long lastBytesNanos;
+
 	private volatile long bodyBytes;
 
 	private BodyWriter bodyWriter;
@@ -95,8 +100,7 @@
 	 */
 	public void armTimeouts(XnioIoThread thread, long connectMillis) {
 		this.startNanos = System.nanoTime();
-		this.timeout = thread.executeAfter(this::timeOut, Math.max(1, this.call.timeoutMillis()),
-				TimeUnit.MILLISECONDS);
+		timeOutAfter(thread, Math.max(1, this.call.timeoutMillis()));
 		if (connectMillis > 0) {
 			this.connectTimeout = thread.executeAfter(
 					() -> connectFailed("no connection within " + connectMillis + " ms"), connectMillis,
@@ -208,6 +212,7 @@
 	 */
 	void bodyReceived(long bytes) {
 		this.bodyBytes = bytes;
+		this.lastBytesNanos = System.nanoTime();
 		this.connection.framing().reset();
 	}
 
@@ -234,14 +239,37 @@
 		this.onEnd.accept(this);
 	}
 
-	private void timeOut() {
+	private void timeOutAfter(XnioIoThread thread, long millis) {
+		this.timeout = thread.executeAfter(() -> timeOut(thread), millis, TimeUnit.MILLISECONDS);
+	}
+
+	private void timeOut(XnioIoThread thread) {
 		long nowNanos = System.nanoTime();
+		long extraMillis = extraMillis(nowNanos);
+		if (extraMillis > 0 && !hasEnded()) {
+			timeOutAfter(thread, extraMillis);
+			return;
+		}
 		String detail = "no complete reply within " + TimeUnit.NANOSECONDS.toMillis(nowNanos - this.startNanos)
 				+ " ms, " + this.bodyBytes + " bytes of its body arrived";
 		connectFailed(detail);
 		fail(CallFailure.TIMED_OUT, detail);
 	}
 
+	/**
+	 * Returns how much more time a reply gets whose body keeps arriving.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return milliseconds, not positive if the call has to end
+	 */
+	private long extraMillis(long nowNanos) {
+		if (this.bodyBytes == 0) {
+			return 0;
+		}
+		long untilStalled = STALL_MILLIS - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastBytesNanos);
+		long untilTooSlow = this.call.slowReplyMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.startNanos);
+		return Math.min(untilStalled, untilTooSlow);
+	}
+
 	private void requestStarted(ClientExchange exchange) {
 		exchange.setResponseListener(new ClientCallback<>() {
 			@Override
