Read the newest of several large records instead of each of them

Cause: a daemon that lacked several versions read and applied each, though only the newest one counts. On a link of 9.8 Mbit/s versions of 400 kB, 80 ms apart, arrive four times as fast as they can be read, and a page of 1 MB ends after two of them. Class: work for superseded state that delays the current one.

Change: if two or more records are missing (AnnouncedPosition), or the store has more than a page of changes held (KeyedPage.more), and a record is larger than a message between daemons, the daemon reads the newest record of each key. It keeps its state meanwhile and returns to it if the read fails; it sends the others what differs, deleted keys included.

--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/AnnouncedPosition.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/AnnouncedPosition.java
@@ -33,6 +33,15 @@
 		return this.position.isAfter(known);
 	}
 
+	/**
+	 * Returns how many records before the announced position are missing.
+	 * @param known the position up to which this daemon knows the stream
+	 * @return the number
+	 */
+	long countAfter(StreamPosition known) {
+		return isAfter(known) ? this.position.offset() - known.offset() : 0;
+	}
+
 	/**
 	 * Returns whether a read that succeeded may have missed records before the announced
 	 * position. One that was started after the announcement has what the store has; a
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/KeyedPage.java
@@ -10,7 +10,8 @@
  *
  * @param records the records, in order
  * @param next the position at which the next read of changes starts
- * @param more whether another page of newest records follows
+ * @param more whether the store has more records: another page of newest records, or
+ * further changes
  * @param trimmed whether the store has deleted earlier records that were not read, so
  * that the newest records have to be read again
  */
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
@@ -1,8 +1,10 @@
 package org.rattanhead.platform.keyed;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -89,6 +91,32 @@
 		return changes.get(index).key();
 	}
 
+	/**
+	 * Returns the newest records by key.
+	 * @return a copy
+	 */
+	Map<String, KeyedRecord> byKey() {
+		return Map.copyOf(this.records);
+	}
+
+	/**
+	 * Returns what changed since an earlier state, including the keys that were deleted.
+	 * @param before the earlier records by key
+	 * @return the changes
+	 */
+	List<KeyedRecord> changedSince(Map<String, KeyedRecord> before) {
+		List<KeyedRecord> changed = new ArrayList<>();
+		before.keySet()
+			.stream()
+			.filter((key) -> !this.records.containsKey(key))
+			.forEach((key) -> changed.add(new KeyedRecord(key, Optional.empty())));
+		this.records.values()
+			.stream()
+			.filter((record) -> !record.equals(before.get(record.key())))
+			.forEach(changed::add);
+		return changed;
+	}
+
 	List<KeyedRecord> all() {
 		return List.copyOf(this.records.values());
 	}
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamProgress.java
@@ -98,6 +98,16 @@
 		this.position = this.position.withOffset(NO_OFFSET);
 	}
 
+	/**
+	 * Goes on with the changes after the records that were known before the restart.
+	 * @param known the position of the next change
+	 */
+	void resume(StreamPosition known) {
+		this.readingNewest = false;
+		this.collected.clear();
+		this.position = known;
+	}
+
 	/**
 	 * Starts again with the newest records of a later era.
 	 * @param era the era
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -47,6 +47,9 @@
 
 	private final AnnouncedPosition announced = new AnnouncedPosition();
 
+	/** Where the records end that this daemon had when it skipped to the newest ones. */
+	private Optional<StreamPosition> skippedFrom = Optional.empty();
+
 	private boolean failing;
 
 	/** Whether the newest records are read because the store was restored. */
@@ -108,12 +111,26 @@
 	}
 
 	private void read(long nowNanos) {
+		if (this.announced.countAfter(this.progress.position()) > 1) {
+			skipToNewest();
+		}
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
 		boolean waits = this.schedule.isReader(nowNanos) && !this.failing;
 		this.reads.start(this.progress, waits ? this.plan.get().waitMillis() : 0, nowNanos);
 	}
 
+	/**
+	 * Lets the newest records be read in place of all changes, if these are large. What
+	 * is superseded would delay the newest ones.
+	 */
+	private void skipToNewest() {
+		if (!this.progress.readingNewest() && this.records.hasLarge()) {
+			this.skippedFrom = Optional.of(this.progress.position());
+			this.progress.restart();
+		}
+	}
+
 	private boolean onPage(PageArrived event, long nowNanos) {
 		StreamPosition known = this.progress.position();
 		KeyedPage page = event.page().withDefaultEra(known);
@@ -165,6 +182,7 @@
 	}
 
 	private void beginEra(long era) {
+		this.skippedFrom = Optional.empty();
 		LOGGER.info("platform: the store is in era {}; reading the newest records of stream {}", era, this.stream);
 		boolean hadRecords = !this.progress.readingNewest();
 		this.restored |= hadRecords;
@@ -187,8 +205,16 @@
 			read(nowNanos);
 			return;
 		}
-		this.schedule.newestRead(nowNanos);
-		replaceAll(newest.get(), nowNanos);
+		if (this.skippedFrom.isPresent()) {
+			this.schedule.readCompleted(nowNanos);
+			this.records.replaceSkipped(this.skippedFrom.orElseThrow(), this.progress.position(), newest.get());
+			this.skippedFrom = Optional.empty();
+			this.snapshots.supplyWaiting(nowNanos);
+		}
+		else {
+			this.schedule.newestRead(nowNanos);
+			replaceAll(newest.get(), nowNanos);
+		}
 		if (this.restored) {
 			this.restored = false;
 			this.records.announce(this.progress.position());
@@ -250,7 +276,10 @@
 			this.records.applyRead(restFrom, rest);
 		}
 		this.schedule.readCompleted(nowNanos);
-		makeDueIf(this.announced.isMissing(read, this.progress.position()), nowNanos);
+		if (page.more()) {
+			skipToNewest();
+		}
+		makeDueIf(page.more() || this.announced.isMissing(read, this.progress.position()), nowNanos);
 		scheduleRead(nowNanos);
 	}
 
@@ -262,7 +291,7 @@
 		StreamPosition needed = this.progress.position();
 		if (this.progress.readingNewest()) {
 			this.announced.announce(update.next(), this.reads.lastNumber());
-			return this.snapshots.requestFrom(event.host());
+			return this.skippedFrom.isEmpty() && this.snapshots.requestFrom(event.host());
 		}
 		if (!update.next().reaches(needed)) {
 			return false;
@@ -291,6 +320,8 @@
 			LOGGER.warn("platform: reading stream {} failed; continuing with the last state read: {}", this.stream,
 					failure.getMessage());
 		}
+		this.skippedFrom.ifPresent(this.progress::resume);
+		this.skippedFrom = Optional.empty();
 		this.records.readFailed();
 		this.schedule.readFailed(nowNanos, !(failure instanceof StoreUnavailableException),
 				this.announced.isAfter(this.progress.position()));
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -1,6 +1,7 @@
 package org.rattanhead.platform.keyed;
 
 import java.util.List;
+import java.util.Map;
 
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
@@ -54,10 +55,41 @@
 		this.notifications.run(() -> {
 			List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
 			this.listener.onChanges(applied);
-			this.peers.sendUpdate(StreamUpdates.create(this.stream, from, page, relevant));
+			if (StreamUpdates.isComplete(page, from)) {
+				sendUpdate(from, page.next(), relevant);
+			}
+			else {
+				announce(page.next());
+			}
 		});
 	}
 
+	/**
+	 * Replaces all records by newer ones that this daemon read in place of the changes,
+	 * and sends the other daemons what differs.
+	 * @param from the position up to which the earlier records were known
+	 * @param next the position after the newest records
+	 * @param records the newest record of each key
+	 */
+	void replaceSkipped(StreamPosition from, StreamPosition next, List<KeyedRecord> records) {
+		Map<String, KeyedRecord> before = this.newest.byKey();
+		replace(records);
+		List<KeyedRecord> changed = this.newest.changedSince(before);
+		this.notifications.run(() -> sendUpdate(from, next, changed));
+	}
+
+	private void sendUpdate(StreamPosition from, StreamPosition next, List<KeyedRecord> relevant) {
+		this.peers.sendUpdate(StreamUpdates.create(this.stream, from, next, relevant));
+	}
+
+	/**
+	 * Returns whether a record is larger than a message to other daemons.
+	 * @return true if there is such a record
+	 */
+	boolean hasLarge() {
+		return this.newest.all().stream().anyMatch((record) -> !NewestRecords.fitMessage(List.of(record)));
+	}
+
 	/**
 	 * Applies changes that another daemon sent.
 	 * @param changes the changes
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
@@ -16,16 +16,17 @@
 	}
 
 	/**
-	 * Creates an update from a page.
+	 * Creates an update.
 	 * @param stream the stream
-	 * @param from the position at which the page starts
-	 * @param page the page
-	 * @param relevant the records of the page that other daemons need
+	 * @param from the position of the first record
+	 * @param next the position after the last record
+	 * @param relevant the records between them that other daemons need
 	 * @return the update, without records if they do not fit
 	 */
-	static StreamUpdate create(KeyedStream stream, StreamPosition from, KeyedPage page, List<KeyedRecord> relevant) {
-		boolean fits = NewestRecords.fitMessage(relevant) && isComplete(page, from);
-		return new StreamUpdate(stream, fits ? from : page.next(), page.next(), fits ? relevant : List.of());
+	static StreamUpdate create(KeyedStream stream, StreamPosition from, StreamPosition next,
+			List<KeyedRecord> relevant) {
+		boolean fits = NewestRecords.fitMessage(relevant);
+		return new StreamUpdate(stream, fits ? from : next, next, fits ? relevant : List.of());
 	}
 
 	/**
