--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -42,9 +42,6 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
-	/** A reply of which no bytes arrive for this long is not given more time. */
-	private static final long STALL_MILLIS = 1_000;
-
 	private final HttpCall call;
 
 	private final ReplyObserver observer;
@@ -61,11 +58,7 @@
 
 	private long reuseMillis = DEFAULT_REUSE_MILLIS;
 
-	private long startNanos;
-
-	private volatile long lastBytesNanos;
-
-	private volatile long bodyBytes;
+	private final ReplyProgress progress;
 
 	private BodyWriter bodyWriter;
 
@@ -90,6 +83,7 @@
 		this.observer = observer;
 		this.pool = pool;
 		this.buffers = buffers;
+		this.progress = new ReplyProgress(call.slowReplyMillis());
 	}
 
 	/**
@@ -99,7 +93,7 @@
 	 * than the timeout of the call
 	 */
 	public void armTimeouts(XnioIoThread thread, long connectMillis) {
-		this.startNanos = System.nanoTime();
+		this.progress.started(System.nanoTime());
 		timeOutAfter(thread, Math.max(1, this.call.timeoutMillis()));
 		if (connectMillis > 0) {
 			this.connectTimeout = thread.executeAfter(
@@ -211,8 +205,7 @@
 	 * @param bytes the number of bytes read so far
 	 */
 	void bodyReceived(long bytes) {
-		this.bodyBytes = bytes;
-		this.lastBytesNanos = System.nanoTime();
+		this.progress.received(bytes, System.nanoTime());
 		this.connection.framing().reset();
 	}
 
@@ -245,31 +238,16 @@
 
 	private void timeOut(XnioIoThread thread) {
 		long nowNanos = System.nanoTime();
-		long extraMillis = extraMillis(nowNanos);
+		long extraMillis = this.progress.extraMillis(nowNanos);
 		if (extraMillis > 0 && !hasEnded()) {
 			timeOutAfter(thread, extraMillis);
 			return;
 		}
-		String detail = "no complete reply within " + TimeUnit.NANOSECONDS.toMillis(nowNanos - this.startNanos)
-				+ " ms, " + this.bodyBytes + " bytes of its body arrived";
+		String detail = this.progress.describe(nowNanos);
 		connectFailed(detail);
 		fail(CallFailure.TIMED_OUT, detail);
 	}
 
-	/**
-	 * Returns how much more time a reply gets whose body keeps arriving.
-	 * @param nowNanos the time on the monotonic clock
-	 * @return milliseconds, not positive if the call has to end
-	 */
-	private long extraMillis(long nowNanos) {
-		if (this.bodyBytes == 0) {
-			return 0;
-		}
-		long untilStalled = STALL_MILLIS - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastBytesNanos);
-		long untilTooSlow = this.call.slowReplyMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.startNanos);
-		return Math.min(untilStalled, untilTooSlow);
-	}
-
 	private void requestStarted(ClientExchange exchange) {
 		exchange.setResponseListener(new ClientCallback<>() {
 			@Override
