Send large records between gateways as differences

What callers saw: a change of a large configuration is in force late at some gateways of a large fleet.

Cause: an update between gateways has at most 32 kB, and a configuration with 240 routes is larger. So every gateway read every version from the store: 118 reads of a version, 74 MB/s of the store's 80 MB/s with versions of 50 kB 80 ms apart. Class: the sharing of reads, on which the bounds of a large fleet rest, ended at a size that deployments exceed from the start.

Change: the gateway that reads a version sends it as the difference to the version before, in the format VCDIFF of RFC 3284 (library vcdiff-core), if the differences have at most 4 kB; 118 of these take a third of a second on the slowest link. A receiver applies one only to the value that it was made from, checked by CRC-32C of both values, and reads the store otherwise. An update without records follows, which shows a gap to daemons that lost the differences and to earlier builds, which ignore the message with differences. Of several versions in a page only the newest is sent. StreamReader is split (SkippedChanges, ReadHealth, ReadTimer), and an announcement of a position that the store does not have ends after one further read also if the newest records are read. A received update no longer postpones the retry of a failed read if more is missing after it.

Evidence: LargeConfigurationTests.readsASmallChangeForAllGateways fails in 4 of 4 rows without it: one version of 41 kB took reads of 0.40, 1.38 and 5.8 MB with 8, 28 and 118 gateways; now less than three versions.

--- a/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/StreamMessageCodec.java
+++ b/rattanhead-peer/src/main/java/org/rattanhead/peer/internal/StreamMessageCodec.java
@@ -11,18 +11,21 @@
 import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.RecordDifference;
 import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
 import org.rattanhead.messages.MeshRecord;
+import org.rattanhead.messages.MeshRecordDifference;
 import org.rattanhead.messages.MeshRecords;
 import org.rattanhead.messages.MeshStreamNews;
 import org.rattanhead.peer.mesh.MeshListener;
 
 /**
  * Encodes and decodes the messages about streams that daemons send each other. Requests
- * for snapshots, and snapshots, have the form of an update with a prefix before the name
- * of the stream. Earlier versions do not know such a stream and ignore them.
+ * for snapshots, snapshots and updates with differences have the form of an update with a
+ * prefix before the name of the stream. Earlier versions do not know such a stream and
+ * ignore them.
  */
 public final class StreamMessageCodec {
 
@@ -30,6 +33,8 @@
 
 	private static final String SNAPSHOT_PREFIX = "snapshot/";
 
+	private static final String DIFFERENCE_PREFIX = "difference/";
+
 	private StreamMessageCodec() {
 	}
 
@@ -40,7 +45,7 @@
 	 * @return the datagram
 	 */
 	public static MeshDatagram encodeUpdate(String host, StreamUpdate update) {
-		return encode(host, "", update);
+		return encode(host, update.differences().isEmpty() ? "" : DIFFERENCE_PREFIX, update);
 	}
 
 	/**
@@ -71,6 +76,13 @@
 			record.value().ifPresent((value) -> encodedRecord.setValue(ByteString.copyFrom(value.bytes())));
 			records.addRecords(encodedRecord);
 		}
+		for (RecordDifference difference : update.differences()) {
+			records.addDifferences(MeshRecordDifference.newBuilder()
+				.setKey(difference.key())
+				.setBaseChecksum(difference.baseChecksum())
+				.setChecksum(difference.checksum())
+				.setDifference(ByteString.copyFrom(difference.difference().bytes())));
+		}
 		MeshStreamNews encoded = MeshStreamNews.newBuilder()
 			.setStream(prefix + update.stream().name())
 			.setEra(update.next().era())
@@ -90,12 +102,10 @@
 	 */
 	static void deliver(String host, MeshStreamNews message, MeshListener listener)
 			throws InvalidProtocolBufferException {
-		List<KeyedRecord> records = MeshRecords
-			.parseFrom(RecordCompression.decompress(message.getPackedRecords().toByteArray()))
-			.getRecordsList()
-			.stream()
-			.map(StreamMessageCodec::decode)
-			.toList();
+		MeshRecords records = MeshRecords
+			.parseFrom(RecordCompression.decompress(message.getPackedRecords().toByteArray()));
+		withStream(message, DIFFERENCE_PREFIX,
+				(stream) -> listener.onStreamUpdate(host, decode(stream, message, records)));
 		withStream(message, "", (stream) -> listener.onStreamUpdate(host, decode(stream, message, records)));
 		withStream(message, SNAPSHOT_PREFIX, (stream) -> listener.onSnapshot(decode(stream, message, records)));
 		withStream(message, REQUEST_PREFIX, (stream) -> listener.onSnapshotRequest(host, stream));
@@ -113,9 +123,16 @@
 			.forEach(action);
 	}
 
-	private static StreamUpdate decode(KeyedStream stream, MeshStreamNews message, List<KeyedRecord> records) {
+	private static StreamUpdate decode(KeyedStream stream, MeshStreamNews message, MeshRecords records) {
 		StreamPosition from = new StreamPosition(message.getEra(), message.getFromOffset());
-		return new StreamUpdate(stream, from, from.withOffset(message.getNextOffset()), records);
+		return new StreamUpdate(stream, from, from.withOffset(message.getNextOffset()),
+				records.getRecordsList().stream().map(StreamMessageCodec::decode).toList(),
+				records.getDifferencesList().stream().map(StreamMessageCodec::decode).toList());
+	}
+
+	private static RecordDifference decode(MeshRecordDifference difference) {
+		return new RecordDifference(difference.getKey(), difference.getBaseChecksum(), difference.getChecksum(),
+				new Payload(difference.getDifference().toByteArray()));
 	}
 
 	private static KeyedRecord decode(MeshRecord record) {
--- a/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
+++ b/rattanhead-peer/src/test/java/org/rattanhead/peer/mesh/MeshNetworkTests.java
@@ -29,6 +29,7 @@
 import org.rattanhead.core.forward.ServerNotice;
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.RecordDifference;
 import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 import org.rattanhead.messages.MeshDatagram;
@@ -166,6 +167,32 @@
 		}
 	}
 
+	/**
+	 * Guards against CONFIG: differences that earlier versions take for records without a
+	 * value.
+	 */
+	@ParameterizedTest(name = "{0}, {1} records, {2} differences of {3} bytes")
+	@CsvSource({ "OPERATORS, 0, 1, 200", "OPERATORS, 2, 1, 4096", "MEMBERS, 1, 3, 1" })
+	void deliversDifferences(KeyedStream stream, int count, int differences, int bytes) throws Exception {
+		InetSocketAddress address = freeAddress();
+		Member member = new Member("peer", 5, "10.0.0.1:80", "127.0.0.1:" + address.getPort(), 1_500);
+		StreamPosition from = new StreamPosition(2, 9);
+		StreamUpdate update = new StreamUpdate(stream, from, from.withOffset(9 + count + differences),
+				IntStream.range(0, count)
+					.mapToObj((index) -> new KeyedRecord("k" + index, Optional.of(Payload.of("v" + index))))
+					.toList(),
+				IntStream.range(0, differences)
+					.mapToObj((index) -> new RecordDifference("d" + index, -index, Integer.MAX_VALUE - index,
+							new Payload(new byte[bytes])))
+					.toList());
+		try (MeshNetwork network = new MeshNetwork("peer", address, this.listener)) {
+			network.sendStreamUpdate(List.of(member), update);
+			assertThat(this.received.poll(5, TimeUnit.SECONDS)).isEqualTo(update);
+		}
+		assertThat(KeyedStream.values()).noneMatch((known) -> known.name()
+			.equals(StreamMessageCodec.encodeUpdate("peer", update).getStreamNews().getStream()));
+	}
+
 	/** Guards against requests and snapshots that earlier versions take for updates. */
 	@ParameterizedTest(name = "{0}, {1} records")
 	@CsvSource({ "OPERATORS, 1", "INSTANCES, 60", "MEMBERS, 0" })
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/AnnouncedPosition.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/AnnouncedPosition.java
@@ -8,7 +8,9 @@
  */
 final class AnnouncedPosition {
 
-	private StreamPosition position = StreamPosition.of(-1);
+	private static final StreamPosition NONE = StreamPosition.of(-1);
+
+	private StreamPosition position = NONE;
 
 	private long lastReadNumber;
 
@@ -43,15 +45,30 @@
 	}
 
 	/**
-	 * Returns whether a read that succeeded may have missed records before the announced
-	 * position. One that was started after the announcement has what the store has; a
-	 * peer that names a position beyond its end causes no further read.
+	 * Returns whether records before the announced position are missing after a read that
+	 * succeeded. A read that was started after the announcement has all that the store
+	 * has, so that a peer that names a position beyond its end causes one read.
 	 * @param read the read
 	 * @param known the position up to which this daemon knows the stream
 	 * @return true if another read is needed
 	 */
 	boolean isMissing(StreamRead read, StreamPosition known) {
-		return isAfter(known) && read.number() <= this.lastReadNumber;
+		if (read.number() > this.lastReadNumber) {
+			this.position = NONE;
+		}
+		return isAfter(known);
+	}
+
+	/**
+	 * Returns whether records before the announced position are missing after the newest
+	 * records were read, for one more read.
+	 * @param known the position up to which this daemon knows the stream
+	 * @return true if another read is needed
+	 */
+	boolean takeMissing(StreamPosition known) {
+		boolean missing = isAfter(known);
+		this.position = NONE;
+		return missing;
 	}
 
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/NewestRecords.java
@@ -91,6 +91,15 @@
 		return changes.get(index).key();
 	}
 
+	/**
+	 * Returns the newest record of a key.
+	 * @param key the key
+	 * @return the record, empty if there is none
+	 */
+	Optional<KeyedRecord> find(String key) {
+		return Optional.ofNullable(this.records.get(key));
+	}
+
 	/**
 	 * Returns the newest records by key.
 	 * @return a copy
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/ReadSchedule.java
@@ -151,13 +151,15 @@
 	 * Postpones the next read after an update from another daemon, unless this daemon
 	 * continues to read.
 	 * @param senderHasPriority whether that daemon continues to read if both daemons read
+	 * @param behind whether records after the update are missing; the next read is not
+	 * postponed then
 	 * @param nowNanos the time on the monotonic clock
 	 */
-	void updateReceived(boolean senderHasPriority, long nowNanos) {
+	void updateReceived(boolean senderHasPriority, boolean behind, long nowNanos) {
 		markCurrent(nowNanos);
 		if (!isReader(nowNanos) || senderHasPriority) {
 			this.yieldUntilNanos = nowNanos + spread(this.plan.get().yieldMillis());
-			this.dueNanos = this.yieldUntilNanos;
+			this.dueNanos = behind ? this.dueNanos : this.yieldUntilNanos;
 			this.readerUntilNanos = nowNanos;
 		}
 	}
@@ -194,6 +196,17 @@
 		this.dueNanos = nowNanos;
 	}
 
+	/**
+	 * Makes the next read due immediately if records are missing.
+	 * @param missing whether records are missing
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void makeDueIf(boolean missing, long nowNanos) {
+		if (missing) {
+			makeDue(nowNanos);
+		}
+	}
+
 	/**
 	 * Returns the time until the next read is due.
 	 * @param nowNanos the time on the monotonic clock
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamReader.java
@@ -33,9 +33,7 @@
 
 	private final ReadSchedule schedule;
 
-	private final FollowTimer timer;
-
-	private final Consumer<FollowEvent> events;
+	private final ReadTimer timer;
 
 	private final HandlerTable<FollowEvent, Boolean> handlers;
 
@@ -47,16 +45,13 @@
 
 	private final AnnouncedPosition announced = new AnnouncedPosition();
 
-	/** Where the records end that this daemon had when it skipped to the newest ones. */
-	private Optional<StreamPosition> skippedFrom = Optional.empty();
+	private final SkippedChanges skipped;
 
-	private boolean failing;
+	private final ReadHealth health;
 
 	/** Whether the newest records are read because the store was restored. */
 	private boolean restored;
 
-	private long timerNumber;
-
 	/**
 	 * Creates a reader, which starts with the first {@link ReadDue} event.
 	 * @param store the store
@@ -77,11 +72,12 @@
 		this.records = new StreamRecords(this.stream, listener, peers);
 		this.snapshots = new SnapshotExchange(this.stream, this.progress, this.records, schedule, peers, timer,
 				() -> events.accept(new RequestDue()));
+		this.skipped = new SkippedChanges(this.progress, this.records);
+		this.health = new ReadHealth(this.stream);
 		this.schedule = schedule;
-		this.timer = timer;
-		this.events = events;
+		this.timer = new ReadTimer(schedule, timer, events);
 		this.handlers = new HandlerTable<FollowEvent, Boolean>()
-			.on(ReadDue.class, (event, now) -> event.timer() == this.timerNumber && readIfDue(now))
+			.on(ReadDue.class, (event, now) -> this.timer.isLast(event) && readIfDue(now))
 			.on(PageArrived.class, (event, now) -> this.reads.finish(event.read()) && onPage(event, now))
 			.on(ReadFailed.class, (event, now) -> this.reads.finish(event.read()) && onReadFailed(event.failure(), now))
 			.on(UpdateReceived.class, (event, now) -> onUpdate(event, now))
@@ -103,7 +99,7 @@
 			return false;
 		}
 		if (this.schedule.delayMillis(nowNanos) > 0) {
-			scheduleRead(nowNanos);
+			this.timer.start(nowNanos);
 			return false;
 		}
 		read(nowNanos);
@@ -111,26 +107,13 @@
 	}
 
 	private void read(long nowNanos) {
-		if (this.announced.countAfter(this.progress.position()) > 1) {
-			skipToNewest();
-		}
+		this.skipped.skipIf(this.announced.countAfter(this.progress.position()) > 1);
 		// If the answer to a waiting read is lost, the read lasts until its time-out.
 		// Therefore only the daemon that reads for all waits, and not while reads fail.
-		boolean waits = this.schedule.isReader(nowNanos) && !this.failing;
+		boolean waits = this.schedule.isReader(nowNanos) && !this.health.isFailing();
 		this.reads.start(this.progress, waits ? this.plan.get().waitMillis() : 0, nowNanos);
 	}
 
-	/**
-	 * Lets the newest records be read in place of all changes, if these are large. What
-	 * is superseded would delay the newest ones.
-	 */
-	private void skipToNewest() {
-		if (!this.progress.readingNewest() && this.records.hasLarge()) {
-			this.skippedFrom = Optional.of(this.progress.position());
-			this.progress.restart();
-		}
-	}
-
 	private boolean onPage(PageArrived event, long nowNanos) {
 		StreamPosition known = this.progress.position();
 		KeyedPage page = event.page().withDefaultEra(known);
@@ -140,7 +123,7 @@
 							"wait; the read is retried. If the failure persists, check the address of the store"),
 					nowNanos);
 		}
-		clearFailure();
+		this.health.succeeded();
 		this.reads.log(event.read(), page, nowNanos);
 		if (page.next().isLaterEra(known) && !this.progress.atFirstPage()) {
 			beginEra(page.next().era());
@@ -177,14 +160,14 @@
 			return true;
 		}
 		this.schedule.awaitPeer(nowNanos);
-		scheduleRead(nowNanos);
+		this.timer.start(nowNanos);
 		return this.snapshots.requestUntilReceived(event.host());
 	}
 
 	private void beginEra(long era) {
-		this.skippedFrom = Optional.empty();
 		LOGGER.info("platform: the store is in era {}; reading the newest records of stream {}", era, this.stream);
-		boolean hadRecords = !this.progress.readingNewest();
+		boolean hadRecords = !this.progress.readingNewest() || this.skipped.isSkipping();
+		this.skipped.cancel();
 		this.restored |= hadRecords;
 		this.progress.restartIn(era);
 		if (hadRecords) {
@@ -205,33 +188,21 @@
 			read(nowNanos);
 			return;
 		}
-		if (this.skippedFrom.isPresent()) {
+		if (this.skipped.isSkipping()) {
 			this.schedule.readCompleted(nowNanos);
-			this.records.replaceSkipped(this.skippedFrom.orElseThrow(), this.progress.position(), newest.get());
-			this.skippedFrom = Optional.empty();
-			this.snapshots.supplyWaiting(nowNanos);
+			this.skipped.finish(newest.get());
 		}
 		else {
 			this.schedule.newestRead(nowNanos);
-			replaceAll(newest.get(), nowNanos);
+			this.records.replace(newest.get());
 		}
+		this.snapshots.supplyWaiting(nowNanos);
 		if (this.restored) {
 			this.restored = false;
 			this.records.announce(this.progress.position());
 		}
-		makeDueIf(this.announced.isAfter(this.progress.position()), nowNanos);
-		scheduleRead(nowNanos);
-	}
-
-	private void makeDueIf(boolean missing, long nowNanos) {
-		if (missing) {
-			this.schedule.makeDue(nowNanos);
-		}
-	}
-
-	private void replaceAll(List<KeyedRecord> newest, long nowNanos) {
-		this.records.replace(newest);
-		this.snapshots.supplyWaiting(nowNanos);
+		this.schedule.makeDueIf(this.announced.takeMissing(this.progress.position()), nowNanos);
+		this.timer.start(nowNanos);
 	}
 
 	private boolean onPeersKnown(boolean others, long nowNanos) {
@@ -259,10 +230,11 @@
 		}
 		this.restored = false;
 		this.progress.continueAfter(snapshot.next());
-		this.schedule.updateReceived(true, nowNanos);
-		makeDueIf(this.announced.isAfter(snapshot.next()), nowNanos);
-		replaceAll(snapshot.records(), nowNanos);
-		scheduleRead(nowNanos);
+		this.schedule.updateReceived(true, false, nowNanos);
+		this.schedule.makeDueIf(this.announced.isAfter(snapshot.next()), nowNanos);
+		this.records.replace(snapshot.records());
+		this.snapshots.supplyWaiting(nowNanos);
+		this.timer.start(nowNanos);
 		return true;
 	}
 
@@ -276,11 +248,9 @@
 			this.records.applyRead(restFrom, rest);
 		}
 		this.schedule.readCompleted(nowNanos);
-		if (page.more()) {
-			skipToNewest();
-		}
-		makeDueIf(page.more() || this.announced.isMissing(read, this.progress.position()), nowNanos);
-		scheduleRead(nowNanos);
+		this.skipped.skipIf(page.more());
+		this.schedule.makeDueIf(page.more() || this.announced.isMissing(read, this.progress.position()), nowNanos);
+		this.timer.start(nowNanos);
 	}
 
 	private boolean onUpdate(UpdateReceived event, long nowNanos) {
@@ -291,23 +261,25 @@
 		StreamPosition needed = this.progress.position();
 		if (this.progress.readingNewest()) {
 			this.announced.announce(update.next(), this.reads.lastNumber());
-			return this.skippedFrom.isEmpty() && this.snapshots.requestFrom(event.host());
+			return !this.skipped.isSkipping() && this.snapshots.requestFrom(event.host());
 		}
 		if (!update.next().reaches(needed)) {
 			return false;
 		}
-		this.schedule.updateReceived(event.senderHasPriority(), nowNanos);
-		if (update.from().isAfter(needed)) {
+		this.schedule.updateReceived(event.senderHasPriority(), this.announced.isAfter(update.next()), nowNanos);
+		Optional<List<KeyedRecord>> changes = update.from().isAfter(needed) ? Optional.empty()
+				: this.records.resolve(update, needed);
+		if (changes.isEmpty()) {
 			return readMissing(event, nowNanos);
 		}
 		this.progress.advance(update.next(), PositionSource.PEER);
-		this.records.applyReceived(StreamUpdates.selectNew(update, needed));
+		this.records.applyReceived(changes.orElseThrow());
 		return true;
 	}
 
 	private boolean readMissing(UpdateReceived event, long nowNanos) {
 		this.announced.announce(event.update().next(), this.reads.lastNumber());
-		if (this.failing) {
+		if (this.health.isFailing()) {
 			this.snapshots.requestMissing(event.host());
 		}
 		this.schedule.makeDue(nowNanos);
@@ -315,31 +287,13 @@
 	}
 
 	private boolean onReadFailed(Throwable failure, long nowNanos) {
-		if (!this.failing) {
-			this.failing = true;
-			LOGGER.warn("platform: reading stream {} failed; continuing with the last state read: {}", this.stream,
-					failure.getMessage());
-		}
-		this.skippedFrom.ifPresent(this.progress::resume);
-		this.skippedFrom = Optional.empty();
+		this.health.failed(failure);
+		this.skipped.resume();
 		this.records.readFailed();
 		this.schedule.readFailed(nowNanos, !(failure instanceof StoreUnavailableException),
 				this.announced.isAfter(this.progress.position()));
-		scheduleRead(nowNanos);
+		this.timer.start(nowNanos);
 		return false;
 	}
 
-	private void clearFailure() {
-		if (this.failing) {
-			this.failing = false;
-			LOGGER.info("platform: stream {} can be read again", this.stream);
-		}
-	}
-
-	private void scheduleRead(long nowNanos) {
-		this.timerNumber++;
-		ReadDue due = new ReadDue(this.timerNumber);
-		this.timer.after(this.schedule.delayMillis(nowNanos), () -> this.events.accept(due));
-	}
-
 }
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -1,10 +1,13 @@
 package org.rattanhead.platform.keyed;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
+import org.rattanhead.core.keyed.RecordDifference;
 import org.rattanhead.core.keyed.StreamPosition;
 import org.rattanhead.core.keyed.StreamUpdate;
 
@@ -51,12 +54,13 @@
 	 * @param page the page
 	 */
 	void applyRead(StreamPosition from, KeyedPage page) {
+		Map<String, KeyedRecord> before = this.newest.byKey();
 		List<KeyedRecord> applied = this.newest.apply(page.records());
 		this.notifications.run(() -> {
 			List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
 			this.listener.onChanges(applied);
 			if (StreamUpdates.isComplete(page, from)) {
-				sendUpdate(from, page.next(), relevant);
+				sendUpdate(from, page.next(), relevant, before);
 			}
 			else {
 				announce(page.next());
@@ -75,11 +79,17 @@
 		Map<String, KeyedRecord> before = this.newest.byKey();
 		replace(records);
 		List<KeyedRecord> changed = this.newest.changedSince(before);
-		this.notifications.run(() -> sendUpdate(from, next, changed));
+		this.notifications.run(() -> sendUpdate(from, next, changed, before));
 	}
 
-	private void sendUpdate(StreamPosition from, StreamPosition next, List<KeyedRecord> relevant) {
-		this.peers.sendUpdate(StreamUpdates.create(this.stream, from, next, relevant));
+	private void sendUpdate(StreamPosition from, StreamPosition next, List<KeyedRecord> relevant,
+			Map<String, KeyedRecord> before) {
+		StreamUpdate update = StreamUpdates.create(this.stream, from, next, relevant, before);
+		this.peers.sendUpdate(update);
+		if (!update.differences().isEmpty()) {
+			// Shows a gap to daemons that lost the differences or cannot decode them.
+			announce(next);
+		}
 	}
 
 	/**
@@ -90,6 +100,29 @@
 		return this.newest.all().stream().anyMatch((record) -> !NewestRecords.fitMessage(List.of(record)));
 	}
 
+	/**
+	 * Returns the records of an update, with those that it has as differences.
+	 * @param update the update
+	 * @param needed the position of the next record that the daemon needs
+	 * @return the records, empty if a difference does not fit to the records of this
+	 * daemon
+	 */
+	Optional<List<KeyedRecord>> resolve(StreamUpdate update, StreamPosition needed) {
+		List<KeyedRecord> records = new ArrayList<>(StreamUpdates.selectNew(update, needed));
+		if (update.next().equals(needed)) {
+			return Optional.of(records);
+		}
+		for (RecordDifference difference : update.differences()) {
+			Optional<KeyedRecord> record = this.newest.find(difference.key())
+				.flatMap((base) -> DifferenceCodec.decode(base, difference));
+			if (record.isEmpty()) {
+				return Optional.empty();
+			}
+			records.add(record.orElseThrow());
+		}
+		return Optional.of(records);
+	}
+
 	/**
 	 * Applies changes that another daemon sent.
 	 * @param changes the changes
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamUpdates.java
@@ -1,6 +1,7 @@
 package org.rattanhead.platform.keyed;
 
 import java.util.List;
+import java.util.Map;
 
 import org.rattanhead.core.keyed.KeyedRecord;
 import org.rattanhead.core.keyed.KeyedStream;
@@ -21,12 +22,19 @@
 	 * @param from the position of the first record
 	 * @param next the position after the last record
 	 * @param relevant the records between them that other daemons need
+	 * @param before the newest records at the first position, by key
 	 * @return the update, without records if they do not fit
 	 */
-	static StreamUpdate create(KeyedStream stream, StreamPosition from, StreamPosition next,
-			List<KeyedRecord> relevant) {
-		boolean fits = NewestRecords.fitMessage(relevant);
-		return new StreamUpdate(stream, fits ? from : next, next, fits ? relevant : List.of());
+	static StreamUpdate create(KeyedStream stream, StreamPosition from, StreamPosition next, List<KeyedRecord> relevant,
+			Map<String, KeyedRecord> before) {
+		if (NewestRecords.fitMessage(relevant)) {
+			return new StreamUpdate(stream, from, next, relevant);
+		}
+		LargeRecords large = LargeRecords.select(relevant);
+		return large.differences(before)
+			.filter((differences) -> NewestRecords.fitMessage(large.others()))
+			.map((differences) -> new StreamUpdate(stream, from, next, large.others(), differences))
+			.orElseGet(() -> new StreamUpdate(stream, next, next, List.of()));
 	}
 
 	/**
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/LargeConfiguration.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/LargeConfiguration.java
@@ -1,7 +1,10 @@
 package org.rattanhead.platform.keyed;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Random;
 
+import org.rattanhead.core.Payload;
+
 /**
  * The text of a configuration with many routes. Successive versions differ in their
  * number and in one route.
@@ -35,6 +38,20 @@
 		return "version-" + version;
 	}
 
+	/**
+	 * Returns the first line of a value.
+	 * @param value the value
+	 * @return the line
+	 */
+	static String firstLine(Payload value) {
+		byte[] bytes = value.bytes();
+		int length = 0;
+		while (length < bytes.length && bytes[length] != '\n') {
+			length++;
+		}
+		return new String(bytes, 0, length, StandardCharsets.UTF_8);
+	}
+
 	private static void route(StringBuilder text, String name) {
 		text.append("{\"Name\":\"r-")
 			.append(name)
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/LargeConfigurationTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/LargeConfigurationTests.java
@@ -67,10 +67,28 @@
 		assertThat(late).isEmpty();
 	}
 
+	/** Guards against reads of every version by every gateway. */
+	@ParameterizedTest(name = "{0} gateways, {1} versions 300 ms apart")
+	@CsvSource({ "8, 1", "28, 1", "118, 1", "28, 5" })
+	void readsASmallChangeForAllGateways(int gateways, int versions) {
+		for (int seed = 1; seed <= SEEDS; seed++) {
+			SimulatedFleet fleet = start(gateways, seed);
+			fleet.store.links.takeAnsweredBytes();
+			for (int version = 3; version <= 2 + versions; version++) {
+				fleet.configure(version, BASE_ROUTES);
+				fleet.run(300);
+			}
+			fleet.run(WARM_UP_MILLIS);
+			long versionBytes = LargeConfiguration.text(3, BASE_ROUTES).length();
+			assertThat(fleet.store.links.takeAnsweredBytes()).as("bytes, seed %d", seed)
+				.isLessThan((versions + 2) * versionBytes);
+		}
+	}
+
 	private static SimulatedFleet start(int gateways, int seed) {
 		SimulatedFleet fleet = new SimulatedFleet(gateways, seed);
-		fleet.store.linkBytesPerMilli = LINK_BYTES_PER_MILLI;
-		fleet.store.totalBytesPerMilli = TOTAL_BYTES_PER_MILLI;
+		fleet.store.links.linkBytesPerMilli = LINK_BYTES_PER_MILLI;
+		fleet.store.links.totalBytesPerMilli = TOTAL_BYTES_PER_MILLI;
 		fleet.startAll();
 		fleet.run(WARM_UP_MILLIS + seed * SEED_STEP_MILLIS);
 		fleet.configure(2, BASE_ROUTES);
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/ReadScheduleTests.java
@@ -102,7 +102,7 @@
 			}
 			for (int other = 0; other < this.schedules.size() - this.isolated; other++) {
 				if (other != daemon) {
-					this.schedules.get(other).updateReceived(daemon < other, nanos);
+					this.schedules.get(other).updateReceived(daemon < other, false, nanos);
 				}
 			}
 		}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedFleet.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedFleet.java
@@ -50,6 +50,9 @@
 
 	private final Random losses;
 
+	/** When each gateway has sent its messages. */
+	private final Map<String, Double> sentMillis = new HashMap<>();
+
 	SimulatedFleet(int count, long seed) {
 		this.count = count;
 		this.seed = seed;
@@ -137,13 +140,14 @@
 	 * @param delivery receives each gateway that the message reaches
 	 */
 	void send(SimulatedGateway sender, List<Member> receivers, long bytes, Consumer<SimulatedGateway> delivery) {
-		long queuedBytes = 0;
+		double freeMillis = Math.max(this.time.millis(), this.sentMillis.getOrDefault(sender.self.host(), 0.0));
 		for (Member member : receivers) {
-			queuedBytes += bytes;
+			freeMillis += (this.store.links.linkBytesPerMilli > 0) ? (double) bytes / this.store.links.linkBytesPerMilli
+					: 0;
 			if (this.lostShare > 0 && this.losses.nextDouble() < this.lostShare) {
 				continue;
 			}
-			long sendMillis = (this.store.linkBytesPerMilli > 0) ? queuedBytes / this.store.linkBytesPerMilli : 0;
+			long sendMillis = (long) freeMillis - this.time.millis();
 			this.time.after(LATENCY_MILLIS + sendMillis, () -> {
 				SimulatedGateway receiver = this.gateways.get(member.host());
 				if (receiver != null && !this.cutOffHosts.contains(sender.self.host())
@@ -152,6 +156,7 @@
 				}
 			});
 		}
+		this.sentMillis.put(sender.self.host(), freeMillis);
 	}
 
 	private void repeatEntry(int instance) {
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedGateway.java
@@ -1,6 +1,5 @@
 package org.rattanhead.platform.keyed;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
@@ -187,8 +186,7 @@
 	@Override
 	public void sendUpdate(StreamUpdate update) {
 		if (this.serves) {
-			long bytes = 0;
-			this.fleet.send(this, this.table.recipients(), bytes,
+			this.fleet.send(this, this.table.recipients(), SimulatedLinks.bytes(update),
 					(gateway) -> gateway.receive(this.self.host(), update));
 		}
 	}
@@ -290,14 +288,8 @@
 			// The last state stays.
 		}
 
-		/** Of large values only the first line is kept. */
 		private String text(KeyedRecord record) {
-			byte[] bytes = record.value().orElseThrow().bytes();
-			int length = 0;
-			while (length < bytes.length && bytes[length] != '\n') {
-				length++;
-			}
-			return new String(bytes, 0, length, StandardCharsets.UTF_8);
+			return LargeConfiguration.firstLine(record.value().orElseThrow());
 		}
 
 	}
--- a/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
+++ b/rattanhead-platform/src/test/java/org/rattanhead/platform/keyed/SimulatedStore.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,29 +36,15 @@
 
 	private static final String NEWEST = " newest";
 
-	private static final int BASE64_OVERHEAD_DIVISOR = 3;
-
 	final Set<String> refusedHosts = new HashSet<>();
 
 	/** Hosts whose calls and answers are lost, those under way included. */
 	final Set<String> lostHosts = new HashSet<>();
 
-	/** The rate at which the answers to one host arrive, 0 for no limit. */
-	long linkBytesPerMilli;
-
-	/** The rate at which the answers to all hosts are read, 0 for no limit. */
-	long totalBytesPerMilli;
+	final SimulatedLinks links = new SimulatedLinks();
 
 	private final VirtualTime time;
 
-	/** When the answers to each host that are under way have arrived. */
-	private final Map<String, Long> linkFreeMillis = new HashMap<>();
-
-	private long totalFreeMillis;
-
-	/** The bytes of all answers. */
-	private long answeredBytes;
-
 	private final Map<KeyedStream, List<StoredRecord>> records = new EnumMap<>(KeyedStream.class);
 
 	private final Map<KeyedStream, List<Runnable>> waiting = new EnumMap<>(KeyedStream.class);
@@ -210,53 +195,16 @@
 	private static List<KeyedRecord> firstPage(List<KeyedRecord> records) {
 		int count = 0;
 		int bytes = 0;
-		while (count < records.size() && (count == 0 || bytes + length(records.get(count)) <= MAX_PAGE_BYTES)) {
-			bytes += length(records.get(count));
+		while (count < records.size()
+				&& (count == 0 || bytes + SimulatedLinks.length(records.get(count)) <= MAX_PAGE_BYTES)) {
+			bytes += SimulatedLinks.length(records.get(count));
 			count++;
 		}
 		return records.subList(0, count);
 	}
 
-	private static int length(KeyedRecord record) {
-		return record.key().length() + record.value().map(Payload::length).orElse(0);
-	}
-
-	/**
-	 * Queues an answer after those to the same host, and after those to all hosts.
-	 * @param host the host
-	 * @param kind the kind of the call
-	 * @param answer the answer
-	 * @return the time until it has arrived, in milliseconds
-	 */
 	private long transferMillis(String host, String kind, Object answer) {
-		long bytes = (answer instanceof KeyedPage page) ? bytes(page) : 0;
-		if (kind.endsWith(NEWEST)) {
-			bytes += bytes / BASE64_OVERHEAD_DIVISOR;
-		}
-		this.answeredBytes += bytes;
-		long nowMillis = this.time.millis();
-		if (bytes == 0 || this.linkBytesPerMilli == 0) {
-			return 0;
-		}
-		this.totalFreeMillis = Math.max(nowMillis, this.totalFreeMillis) + bytes / this.totalBytesPerMilli;
-		long linkMillis = Math.max(nowMillis, this.linkFreeMillis.getOrDefault(host, 0L))
-				+ bytes / this.linkBytesPerMilli;
-		this.linkFreeMillis.put(host, Math.max(linkMillis, this.totalFreeMillis));
-		return this.linkFreeMillis.get(host) - nowMillis;
-	}
-
-	private static long bytes(KeyedPage page) {
-		return page.records().stream().mapToLong(SimulatedStore::length).sum();
-	}
-
-	/**
-	 * Returns the bytes of all answers since the previous call of this method.
-	 * @return the number of bytes
-	 */
-	long takeAnsweredBytes() {
-		long taken = this.answeredBytes;
-		this.answeredBytes = 0;
-		return taken;
+		return this.links.transferMillis(host, kind.endsWith(NEWEST), answer, this.time.millis());
 	}
 
 	private KeyedPage newest(KeyedStream stream) {
