Decode configurations in a duty of their own, only the newest that waits

Versions in quick succession queued up in its ring of 64 slots.

Change: OperatorRecordListener passes values to ConfigurationDuty, which decodes the last of those that wait (ConfigurationPublisher).

There is no test that fails before, since the time that a host takes is not simulated.

--- /dev/null
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/ConfigurationDue.java
@@ -0,0 +1,7 @@
+package org.rattanhead.daemon.gateway;
+
+/**
+ * A configuration waits to be decoded.
+ */
+record ConfigurationDue() {
+}
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/Gateway.java
@@ -149,7 +149,7 @@
 		MeshStreams peers = new MeshStreams(mesh);
 		BiConsumer<KeyedStream, KeyedListener> follow = (stream, listener) -> followers.add(stream, new KeyedFollower(
 				store, () -> plans.plan(stream), this.ticker, listener, peers, this.metrics::position));
-		follow.accept(KeyedStream.OPERATORS, new OperatorRecordListener(this.decisions, this.status, System::nanoTime));
+		follow.accept(KeyedStream.OPERATORS, operatorListener());
 		follow.accept(KeyedStream.INSTANCES, new InstanceRecordListener(this.decisions, this.status, System::nanoTime));
 		Announcement announcement = new Announcement(this.self,
 				() -> records.put(this.self.host(), MemberRecordCodec.encode(this.self)), followers::onPeersKnown);
@@ -230,6 +230,12 @@
 						() -> new PageContent(OK, "text/plain; version=0.0.4; charset=utf-8", this.metrics.page())));
 	}
 
+	private KeyedListener operatorListener() {
+		ConfigurationPublisher publisher = new ConfigurationPublisher(this.decisions, this.status);
+		ConfigurationDuty configurations = own(new ConfigurationDuty(publisher::publish));
+		return new OperatorRecordListener(this.decisions, configurations::decode, System::nanoTime);
+	}
+
 	private KeyedStore connectStore() {
 		return new GuardedStore(
 				new CountedStore(new HttpKeyedStore(this.storeCaller, this.settings.storeAddress()), this.metrics),
--- a/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
+++ b/rattanhead-daemon/src/main/java/org/rattanhead/daemon/gateway/OperatorRecordListener.java
@@ -3,17 +3,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-import org.rattanhead.adapter.ConfigurationDecoder;
 import org.rattanhead.adapter.OperatorRecords;
-import org.rattanhead.core.forward.Configuration;
+import org.rattanhead.core.Payload;
 import org.rattanhead.core.keyed.KeyedRecord;
-import org.rattanhead.core.problem.RemedyException;
-import org.rattanhead.decision.forward.ConfigurationApplied;
 import org.rattanhead.decision.forward.DomainsEvacuated;
 import org.rattanhead.decision.forward.ForwardEvent;
 import org.rattanhead.decision.register.EvacuatedDomains;
@@ -22,7 +20,8 @@
 import org.rattanhead.ring.Urgency;
 
 /**
- * Converts records written by operators into events for the forwarding decisions.
+ * Converts records written by operators into events for the forwarding decisions, and
+ * passes configurations on to be decoded.
  */
 final class OperatorRecordListener implements KeyedListener {
 
@@ -30,7 +29,7 @@
 
 	private final EventSink<ForwardEvent> decisions;
 
-	private final GatewayStatus status;
+	private final Consumer<Payload> configurations;
 
 	private final LongSupplier clock;
 
@@ -38,9 +37,15 @@
 
 	private Optional<Set<String>> published = Optional.empty();
 
-	OperatorRecordListener(EventSink<ForwardEvent> decisions, GatewayStatus status, LongSupplier clock) {
+	/**
+	 * Creates a listener.
+	 * @param decisions receives the failure domains that are taken out
+	 * @param configurations receives the values of configurations
+	 * @param clock the monotonic clock, in nanoseconds
+	 */
+	OperatorRecordListener(EventSink<ForwardEvent> decisions, Consumer<Payload> configurations, LongSupplier clock) {
 		this.decisions = decisions;
-		this.status = status;
+		this.configurations = configurations;
 		this.clock = clock;
 	}
 
@@ -68,8 +73,8 @@
 	}
 
 	private void apply(KeyedRecord record) {
-		if (OperatorRecords.isConfiguration(record) && record.value().isPresent()) {
-			applyConfiguration(record);
+		if (OperatorRecords.isConfiguration(record)) {
+			record.value().ifPresent(this.configurations);
 		}
 		OperatorRecords.evacuatedDomain(record).ifPresent((domain) -> {
 			if (record.value().isPresent()) {
@@ -81,17 +86,6 @@
 		});
 	}
 
-	private void applyConfiguration(KeyedRecord record) {
-		try {
-			Configuration configuration = ConfigurationDecoder.decode(record.value().orElseThrow());
-			this.decisions.offer(new ConfigurationApplied(configuration), Urgency.COMPLETION);
-			this.status.markConfigured();
-		}
-		catch (RemedyException ex) {
-			LOGGER.error("platform: {}", ex.getMessage());
-		}
-	}
-
 	private void publishIfChanged() {
 		Set<String> domains = this.evacuated.domains();
 		if (!this.published.equals(Optional.of(domains))) {
--- a/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
+++ b/rattanhead-daemon/src/test/java/org/rattanhead/daemon/gateway/FullRingRecordTests.java
@@ -45,7 +45,8 @@
 	void recordReachesDecisions(String record, String event) {
 		KeyedListener listener = record.equals("instance")
 				? new InstanceRecordListener(this.fullRing, this.status, System::nanoTime)
-				: new OperatorRecordListener(this.fullRing, this.status, System::nanoTime);
+				: new OperatorRecordListener(this.fullRing,
+						new ConfigurationPublisher(this.fullRing, this.status)::publish, System::nanoTime);
 		List<KeyedRecord> records = switch (record) {
 			case "config" -> List.of(new KeyedRecord("config", Optional.of(Payload.of(CONFIGURATION))));
 			case "instance" -> List.of(new KeyedRecord("i-0", Optional.of(Payload.of(ENTRY))));
