Read the clock and copy records only where they are needed

Cause: with the time-out that depends on progress, each part of each body read the clock, parts of callers' streams included, though only reads of the store use it; and each page that was read copied all records of its stream, though only differences need the earlier ones.

Change: ReplyProgress takes the time only for calls that allow a slow reply. StreamRecords copies the records only if a page does not fit a message, which is when differences are made. No behaviour is meant to change.

--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/Exchange.java
@@ -83,7 +83,7 @@
 		this.observer = observer;
 		this.pool = pool;
 		this.buffers = buffers;
-		this.progress = new ReplyProgress(call.slowReplyMillis());
+		this.progress = new ReplyProgress(call);
 	}
 
 	/**
@@ -205,7 +205,7 @@
 	 * @param bytes the number of bytes read so far
 	 */
 	void bodyReceived(long bytes) {
-		this.progress.received(bytes, System.nanoTime());
+		this.progress.received(bytes);
 		this.connection.framing().reset();
 	}
 
--- a/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyProgress.java
+++ b/rattanhead-client/src/main/java/org/rattanhead/client/internal/ReplyProgress.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.rattanhead.client.HttpCall;
+
 /**
  * How much of the body of a reply has arrived, and when. Used by the I/O thread of the
  * connection and by the thread that runs the timeouts.
@@ -13,6 +15,8 @@
 
 	private final long slowReplyMillis;
 
+	private final boolean allowsSlowReply;
+
 	private volatile long startNanos;
 
 	private volatile long lastBytesNanos;
@@ -21,11 +25,11 @@
 
 	/**
 	 * Creates the progress of a reply.
-	 * @param slowReplyMillis the timeout of the complete call while the body keeps
-	 * arriving, in milliseconds
+	 * @param call the call
 	 */
-	ReplyProgress(long slowReplyMillis) {
-		this.slowReplyMillis = slowReplyMillis;
+	ReplyProgress(HttpCall call) {
+		this.slowReplyMillis = call.slowReplyMillis();
+		this.allowsSlowReply = call.slowReplyMillis() > call.timeoutMillis();
 	}
 
 	void started(long nowNanos) {
@@ -33,12 +37,14 @@
 	}
 
 	/**
-	 * Records that a part of the body was read.
+	 * Records that a part of the body was read. The clock is read only for calls whose
+	 * timeout depends on it, since a stream has many parts.
 	 * @param bytes the number of bytes read so far
-	 * @param nowNanos the time on the monotonic clock
 	 */
-	void received(long bytes, long nowNanos) {
-		this.lastBytesNanos = nowNanos;
+	void received(long bytes) {
+		if (this.allowsSlowReply) {
+			this.lastBytesNanos = System.nanoTime();
+		}
 		this.bodyBytes = bytes;
 	}
 
@@ -48,7 +54,7 @@
 	 * @return milliseconds, not positive if the call has to end
 	 */
 	long extraMillis(long nowNanos) {
-		if (this.bodyBytes == 0) {
+		if (!this.allowsSlowReply || this.bodyBytes == 0) {
 			return 0;
 		}
 		long untilStalled = STALL_MILLIS - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastBytesNanos);
--- a/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
+++ b/rattanhead-platform/src/main/java/org/rattanhead/platform/keyed/StreamRecords.java
@@ -57,7 +57,8 @@
 	 * reader
 	 */
 	void applyRead(StreamPosition from, KeyedPage page, boolean announced) {
-		Map<String, KeyedRecord> before = this.newest.byKey();
+		// Only differences need the earlier records.
+		Map<String, KeyedRecord> before = NewestRecords.fitMessage(page.records()) ? Map.of() : this.newest.byKey();
 		List<KeyedRecord> applied = this.newest.apply(page.records());
 		this.notifications.run(() -> {
 			List<KeyedRecord> relevant = this.listener.selectRelevant(applied);
